--- a/cli/src/main/kotlin/org/shallotplank/cli/Main.kt
+++ b/cli/src/main/kotlin/org/shallotplank/cli/Main.kt
@@ -33,6 +33,7 @@
 internal fun shallotplankCommand(): CliktCommand = ShallotplankCommand().subcommands(
     EntryCommand(),
     AgentCommand(),
+    GatewayCommand(),
     CheckCommand(),
     PublishCommand(),
     StatusCommand()
--- a/config/src/main/kotlin/org/shallotplank/config/ConfigurationFiles.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/ConfigurationFiles.kt
@@ -35,6 +35,10 @@
 public fun readAgentSettings(path: Path): Reading<AgentSettings> =
     readFile(path, ::readAgentSettings)
 
+/** Reads the settings of a gateway entry from [path]; see [readGatewayEntrySettings]. */
+public fun readGatewayEntrySettings(path: Path): Reading<GatewayEntrySettings> =
+    readFile(path, ::readGatewayEntrySettings)
+
 private fun <T : Any> readFile(path: Path, read: (SourceFile) -> Reading<T>): Reading<T> {
     val findings = FindingCollector()
     val source = load(path, findings) ?: return findings.conclude { null }
--- a/config/src/main/kotlin/org/shallotplank/config/SettingsReader.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/SettingsReader.kt
@@ -16,7 +16,7 @@
 public fun readAgentSettings(source: SourceFile): Reading<AgentSettings> =
     readSettings(source, agentSettingsSpec, TableReader::agentSettings)
 
-private fun <T : Any> readSettings(
+internal fun <T : Any> readSettings(
     source: SourceFile,
     spec: FileSpec,
     read: TableReader.() -> T?
@@ -99,7 +99,7 @@
 }
 
 /** Reads address keys and reports each one whose address an earlier key has. */
-private fun TableReader.readDistinct(
+internal fun TableReader.readDistinct(
     vararg keys: KeySpec<Address>
 ): Map<KeySpec<Address>, Address?> {
     val addresses = keys.associateWith { read(it) }
--- a/config/src/main/kotlin/org/shallotplank/config/ValueRule.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/ValueRule.kt
@@ -5,6 +5,8 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
 import org.shallotplank.core.Address
 import org.tomlj.TomlArray
 import org.tomlj.TomlTable
@@ -159,6 +161,19 @@
     parse = { value -> (value as? String)?.let(::parseAddress)?.takeUnless(::isWildcard) }
 )
 
+/** Any number of addresses to connect to. */
+internal fun remoteAddresses(): ValueRule<PersistentList<Address>> = ValueRule(
+    type = "array of strings",
+    expected = "an array of IP numbers with ports such as [\"10.0.0.1:8080\"]",
+    wrongExample = "10.0.0.1:8080",
+    print = { addresses -> addresses.joinToString(", ", "[", "]") { "\"$it\"" } },
+    parse = { value ->
+        val texts = (value as? TomlArray)?.toList()
+        val addresses = texts?.mapNotNull { (it as? String)?.let(::parseAddress) }
+        addresses?.takeIf { it.size == texts.size }?.toPersistentList()
+    }
+)
+
 private fun IntRange.asLongs(): LongRange = first.toLong()..last.toLong()
 
 private fun parseAddress(text: String): Address? {
--- a/config/src/test/kotlin/org/shallotplank/config/ReferencePageTest.kt
+++ b/config/src/test/kotlin/org/shallotplank/config/ReferencePageTest.kt
@@ -13,7 +13,8 @@
     zonesFileSpec,
     customersFileSpec,
     entrySettingsSpec,
-    agentSettingsSpec
+    agentSettingsSpec,
+    gatewaySettingsSpec
 )
 
 private const val SERVICE_FILE_INTRODUCTION = """
@@ -47,8 +48,8 @@
 """
 
 private const val SETTINGS_INTRODUCTION = """
-Each process reads one TOML file at its start: `shallotplank entry --settings FILE` and
-`shallotplank agent --settings FILE`. The settings say what the process is and where it listens;
+Each process reads one TOML file at its start: `shallotplank entry --settings FILE`,
+`shallotplank agent --settings FILE` and `shallotplank gateway --settings FILE`. The settings say what the process is and where it listens;
 what it does with requests is in the published configuration. All findings are printed together,
 one a line, as `file:line: key: expected X, found Y`, and the process does not start while there is
 one. Addresses are IP numbers with a port: a host name is a finding, and so is one address under
@@ -132,7 +133,7 @@
             referencePage(
                 title = "Settings reference",
                 introduction = SETTINGS_INTRODUCTION,
-                specs = listOf(entrySettingsSpec, agentSettingsSpec)
+                specs = listOf(entrySettingsSpec, agentSettingsSpec, gatewaySettingsSpec)
             )
         )
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -0,0 +1,143 @@
+package org.shallotplank.core.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.collections.immutable.persistentListOf
+import org.shallotplank.core.CustomerName
+import org.shallotplank.core.RequestId
+import org.shallotplank.core.ServiceName
+import org.shallotplank.core.Step
+import org.shallotplank.core.admission.AdmissionRequest
+import org.shallotplank.core.config.Priority
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.logRecord
+import org.shallotplank.core.quarantine.QuarantineVerdict
+import org.shallotplank.core.quarantine.RequestFingerprint
+import org.shallotplank.core.then
+
+internal fun GatewayState.onArrived(request: GatewayRequest, context: GatewayContext): GatewayStep {
+    val table = routes?.takeIf { isReady }
+        ?: return refuseUnknown(request, STATUS_UNAVAILABLE, GatewayRefusal.NOT_CONFIGURED)
+    val path = request.path.substringBefore('?')
+    val route = table.match(request.host, path)
+        ?: return refuseUnknown(request, STATUS_NOT_FOUND, GatewayRefusal.NO_ROUTE)
+    val holder = request.credential?.let { table.customersByCredential[it] }
+    if (table.requiresCredentials && !route.isOpen && holder == null) {
+        return refuseUnknown(request, STATUS_UNAUTHORIZED, GatewayRefusal.UNAUTHORIZED)
+    }
+    val service = drawService(route, context)
+    val patience = request.timeLeft
+    val isCallers = patience != null && patience < route.timeout
+    val call = GatewayCall(
+        request = request,
+        route = route,
+        service = service,
+        customer = holder?.customer,
+        priority = holder?.priority ?: route.priority,
+        deadline = request.arrivedAt + (if (isCallers) patience else route.timeout),
+        isCallersDeadline = isCallers
+    )
+    val counted = copy(
+        retries = retries.put(service, retriesOf(service).afterRequest(context.now))
+    )
+    return counted.put(call).admit(call, context)
+}
+
+/** Draws a target by weight among those that have a usable upstream, if there are any. */
+private fun GatewayState.drawService(route: Route, context: GatewayContext): ServiceName {
+    val weighted = route.targets.filter { it.weight > 0 }.ifEmpty { route.targets }
+    if (weighted.size == 1) return weighted.single().service
+    val usable = weighted.filter { target -> hasUsable(target.service, context) }
+    val targets = usable.ifEmpty { weighted }
+    var drawn = context.random.nextInt(targets.sumOf { it.weight }.coerceAtLeast(1))
+    for (target in targets) {
+        drawn -= target.weight
+        if (drawn < 0) return target.service
+    }
+    return targets.last().service
+}
+
+private fun GatewayState.hasUsable(service: ServiceName, context: GatewayContext): Boolean =
+    upstreamsOf(service).any { isInService(it) && it.isUsable(context.now) }
+
+private fun GatewayState.admit(call: GatewayCall, context: GatewayContext): GatewayStep {
+    val verdict = quarantine.verdict(call.fingerprint, context.now)
+    if (verdict == QuarantineVerdict.QUARANTINED) {
+        return refuse(call, GatewayRefusal.QUARANTINED, QUARANTINE_RETURN)
+    }
+    if (!hasUsable(call.service, context)) {
+        return refuse(call, GatewayRefusal.NO_UPSTREAM, spreadReturn(context))
+    }
+    val request = AdmissionRequest(
+        id = call.request.id,
+        customer = call.customer ?: ANONYMOUS,
+        startBy = minOf(call.deadline, call.request.arrivedAt + longestWait(call.route)),
+        priority = Priority.entries[call.priority.coerceIn(Priority.entries.indices)]
+    )
+    val queue = queueOf(call.service, context)
+    return applied(call.service, queue.offer(request, context.now, context.random), context)
+}
+
+/** How long a request of [route] may wait so that serving it is still of use. */
+private fun longestWait(route: Route): Duration =
+    route.goal * (if (route.kind == RequestKind.STREAM) STREAM_WAIT_SHARE else PLAIN_WAIT_SHARE)
+
+private fun GatewayState.refuseUnknown(
+    request: GatewayRequest,
+    status: Int,
+    reason: GatewayRefusal
+): GatewayStep {
+    val record = logRecord(
+        LogEvent.GATEWAY_REJECTED,
+        "request" to request.id,
+        "attempt_id" to request.attemptId,
+        "host" to request.host,
+        "path" to request.path,
+        "status" to status,
+        "reason" to reason,
+        "configuration" to routes?.version,
+        "ready" to isReady
+    )
+    val retryAfter = UNCONFIGURED_RETURN.takeIf { reason == GatewayRefusal.NOT_CONFIGURED }
+    val refuse = GatewayEffect.Refuse(request.id, status, reason, retryAfter)
+    return Step(this, persistentListOf(refuse, GatewayEffect.Log(record)))
+}
+
+internal fun GatewayState.onCallerLeft(id: RequestId, context: GatewayContext): GatewayStep {
+    val call = calls[id] ?: return Step(this)
+    val record = logRecord(
+        LogEvent.GATEWAY_CALLER_LEFT,
+        "request" to id,
+        "attempt_id" to call.request.attemptId,
+        "service" to call.service,
+        "attempts" to call.attemptsSent,
+        "begun" to call.isAnswerBegun,
+        "age_ms" to (context.now - call.request.arrivedAt).inWholeMilliseconds
+    )
+    return withdraw(call).then { it.logged(record) }.then { it.release(call, context) }
+}
+
+/** Under what crashes of this request are counted. */
+internal val GatewayCall.fingerprint: RequestFingerprint
+    get() = RequestFingerprint(customer ?: ANONYMOUS, request.bodySha256)
+
+internal const val STATUS_UNAUTHORIZED = 401
+internal const val STATUS_NOT_FOUND = 404
+internal const val STATUS_BAD_GATEWAY = 502
+internal const val STATUS_UNAVAILABLE = 503
+internal const val STATUS_GATEWAY_TIMEOUT = 504
+
+/** Customer of requests on open routes. */
+internal val ANONYMOUS = CustomerName("-")
+
+/** Part of the goal that a stream may wait; the rest is for the prompt and the first pass. */
+private const val STREAM_WAIT_SHARE = 0.7
+
+/** Plain requests keep most of their worth for a while after the goal. */
+private const val PLAIN_WAIT_SHARE = 1.5
+
+/** A process that starts has its configuration within about this time. */
+private val UNCONFIGURED_RETURN = 500.milliseconds
+
+/** A request that crashed upstreams has no better time to come back. */
+private val QUARANTINE_RETURN = 60_000.milliseconds
--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayBeliefs.kt
@@ -0,0 +1,107 @@
+package org.shallotplank.core.gateway
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.mutate
+import org.shallotplank.core.Step
+import org.shallotplank.core.ZoneName
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.logRecord
+import org.shallotplank.core.then
+
+/** Takes over a configuration unless a newer one is in force. */
+internal fun GatewayState.onRoutesAccepted(
+    table: RouteTable,
+    context: GatewayContext
+): GatewayStep {
+    val present = routes
+    if (present != null && present.version >= table.version) return Step(this)
+    val record = logRecord(
+        LogEvent.GATEWAY_ROUTES_IN_FORCE,
+        "version" to table.version,
+        "previous" to present?.version,
+        "routes" to table.routes.size,
+        "services" to table.services.size,
+        "credentials" to table.customersByCredential.size
+    )
+    return copy(routes = table).logged(record).then { it.resizeQueues(context) }
+}
+
+/** Follows the list of upstreams; what runs at one that left it goes on. */
+internal fun GatewayState.onUpstreamsListed(
+    listed: PersistentList<ListedUpstream>,
+    context: GatewayContext
+): GatewayStep {
+    val present = listed.associateBy { UpstreamKey(it.record.id, it.record.incarnation) }
+    val next = upstreams.mutate { map ->
+        for ((key, entry) in present) {
+            val known = map[key] ?: GatewayUpstream(entry.record)
+            map[key] = known.copy(record = entry.record, missingSince = entry.missingSince)
+        }
+        for (gone in map.keys.filter { it !in present }) {
+            val known = map.getValue(gone)
+            if (known.outstanding == 0) {
+                map.remove(gone)
+            } else {
+                map[gone] = known.copy(record = known.record.copy(isLeaving = true))
+            }
+        }
+    }
+    val records = (upstreams.keys + next.keys).mapNotNull { key ->
+        changeOf(upstreams[key], next[key])?.let { change ->
+            val record = (next[key] ?: upstreams.getValue(key)).record
+            logRecord(
+                LogEvent.GATEWAY_UPSTREAM_CHANGED,
+                "upstream" to key,
+                "service" to record.service,
+                "zone" to record.zone,
+                "address" to record.address,
+                "change" to change
+            )
+        }
+    }
+    val state = copy(upstreams = next)
+    return records.fold(GatewayStep(state)) { step, record -> step.then { it.logged(record) } }
+        .then { it.resizeQueues(context) }
+}
+
+private fun changeOf(before: GatewayUpstream?, after: GatewayUpstream?): String? = when {
+    before == null && after != null -> "added"
+    before != null && after == null -> "removed"
+    before == null || after == null -> null
+    !before.record.isLeaving && after.record.isLeaving -> "leaving"
+    before.missingSince == null && after.missingSince != null -> "missing"
+    before.missingSince != null && after.missingSince == null -> "returned"
+    else -> null
+}
+
+internal fun GatewayState.onEvacuationsChanged(
+    zones: PersistentSet<ZoneName>,
+    context: GatewayContext
+): GatewayStep {
+    if (zones == outOfService) return Step(this)
+    val record = logRecord(
+        LogEvent.GATEWAY_ZONES_CHANGED,
+        "out_of_service" to zones.joinToString(","),
+        "before" to outOfService.joinToString(",")
+    )
+    return copy(outOfService = zones).logged(record).then { it.resizeQueues(context) }
+}
+
+internal fun GatewayState.onPeersReported(
+    event: GatewayEvent.PeersReported,
+    context: GatewayContext
+): GatewayStep {
+    val counted = copy(
+        entryCount = event.entryCount.coerceAtLeast(1),
+        upstreams = upstreams.mutate { map ->
+            for ((key, upstream) in upstreams) {
+                val others = event.inFlight[key] ?: 0
+                if (upstream.othersOutstanding != others) {
+                    map[key] = upstream.copy(othersOutstanding = others)
+                }
+            }
+        }
+    )
+    return counted.resizeQueues(context)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -0,0 +1,138 @@
+package org.shallotplank.core.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.collections.immutable.persistentListOf
+import org.shallotplank.core.Step
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.logRecord
+import org.shallotplank.core.then
+
+/**
+ * Ends a call that no upstream answered.
+ *
+ * Only a request that has not run and never will is told to come back; any other is told that its
+ * outcome is not known.
+ */
+internal fun GatewayState.endWithoutAnswer(
+    call: GatewayCall,
+    reason: GatewayRefusal,
+    context: GatewayContext
+): GatewayStep {
+    val ended = if (call.isAnswerBegun) {
+        cut(call, reason)
+    } else {
+        refuse(call, reason, spreadReturn(context).takeIf { !call.mayHaveRun }, isAdmitted = true)
+    }
+    return ended.then { it.freePlace(call, context) }
+}
+
+/** Answers with a status of the gateway's own and forgets the call. */
+internal fun GatewayState.refuse(
+    call: GatewayCall,
+    reason: GatewayRefusal,
+    retryAfter: Duration?,
+    isAdmitted: Boolean = false
+): GatewayStep {
+    val status = when {
+        !call.mayHaveRun -> STATUS_UNAVAILABLE
+        reason == GatewayRefusal.TIMED_OUT -> STATUS_GATEWAY_TIMEOUT
+        else -> STATUS_BAD_GATEWAY
+    }
+    val record = logRecord(
+        LogEvent.GATEWAY_REFUSED,
+        "request" to call.request.id,
+        "attempt_id" to call.request.attemptId,
+        "service" to call.service,
+        "customer" to call.customer,
+        "route" to call.route.name,
+        "status" to status,
+        "reason" to reason,
+        "may_have_run" to call.mayHaveRun,
+        "attempts" to call.attemptsSent,
+        "admitted" to isAdmitted,
+        "retry_after_ms" to retryAfter?.inWholeMilliseconds,
+        "capacity" to queues[call.service]?.capacity,
+        "running" to queues[call.service]?.runningCount,
+        "waiting" to queues[call.service]?.waitingCount,
+        "configuration" to routesInForce.version
+    )
+    val refuse = GatewayEffect.Refuse(call.request.id, status, reason, retryAfter)
+    return Step(
+        copy(calls = calls.remove(call.request.id)),
+        persistentListOf(refuse, GatewayEffect.Log(record))
+    )
+}
+
+private fun GatewayState.cut(call: GatewayCall, reason: GatewayRefusal): GatewayStep {
+    val record = logRecord(
+        LogEvent.GATEWAY_CUT,
+        "request" to call.request.id,
+        "attempt_id" to call.request.attemptId,
+        "service" to call.service,
+        "customer" to call.customer,
+        "reason" to reason,
+        "attempts" to call.attemptsSent
+    )
+    return Step(
+        copy(calls = calls.remove(call.request.id)),
+        persistentListOf(GatewayEffect.Cut(call.request.id), GatewayEffect.Log(record))
+    )
+}
+
+/** Stops the open attempt of a call, if it has one. */
+internal fun GatewayState.withdraw(call: GatewayCall): GatewayStep {
+    val sent = call.phase as? GatewayPhase.Sent ?: return Step(this)
+    return Step(
+        update(sent.upstream) { it.ended() },
+        persistentListOf(GatewayEffect.Withdraw(call.request.id, sent.attempt))
+    )
+}
+
+/** Forgets a call and gives its place to one that waits. */
+internal fun GatewayState.release(call: GatewayCall, context: GatewayContext): GatewayStep =
+    copy(calls = calls.remove(call.request.id)).freePlace(call, context)
+
+private fun GatewayState.freePlace(call: GatewayCall, context: GatewayContext): GatewayStep {
+    val queue = queueOf(call.service, context)
+    val released = queue.release(call.request.id, context.now, context.random)
+    return applied(call.service, released, context)
+}
+
+/** Ends what is overdue and admits or refuses what waits. */
+internal fun GatewayState.onTick(context: GatewayContext): GatewayStep {
+    val overdue = calls.values.filter { context.now >= it.deadline + slackOf(it) }
+    val ended = overdue.fold(GatewayStep(this)) { step, call ->
+        step.then { it.endOverdue(call, context) }
+    }
+    return ended.then { it.resizeQueues(context) }
+}
+
+private fun slackOf(call: GatewayCall): Duration =
+    if (call.isCallersDeadline) CALLER_SLACK else Duration.ZERO
+
+private fun GatewayState.endOverdue(call: GatewayCall, context: GatewayContext): GatewayStep {
+    val known = calls[call.request.id] ?: return Step(this)
+    val isSent = known.phase is GatewayPhase.Sent
+    val late = known.copy(mayHaveRun = known.mayHaveRun || isSent)
+    return withdraw(known).then { it.endWithoutAnswer(late, GatewayRefusal.TIMED_OUT, context) }
+}
+
+/** Lets the queues follow what the upstreams can take now. */
+internal fun GatewayState.resizeQueues(context: GatewayContext): GatewayStep =
+    queues.keys.fold(GatewayStep(this)) { step, service ->
+        step.then { state ->
+            val queue = state.queues.getValue(service)
+            val capacity = state.queueOf(service, context).capacity
+            val isSettled = queue.capacity == capacity && queue.waitingCount == 0
+            if (isSettled) {
+                Step(state)
+            } else {
+                val resized = queue.resize(capacity, context.now, context.random)
+                state.applied(service, resized, context)
+            }
+        }
+    }
+
+/** Time beyond the caller's own deadline after which an upstream must have stopped by itself. */
+private val CALLER_SLACK = 100.milliseconds
--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -0,0 +1,120 @@
+package org.shallotplank.core.gateway
+
+import kotlin.time.Duration
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import org.shallotplank.core.RequestId
+import org.shallotplank.core.ZoneName
+import org.shallotplank.core.quarantine.CrashRecord
+
+/** Everything that can happen to a gateway entry. */
+public sealed interface GatewayEvent {
+    /** A request was read whole. */
+    public data class Arrived(val request: GatewayRequest) : GatewayEvent
+
+    /** A caller closed its connection. */
+    public data class CallerLeft(val requestId: RequestId) : GatewayEvent
+
+    /** No connection to the upstream could be made; nothing was sent. */
+    public data class ConnectFailed(
+        val requestId: RequestId,
+        val attempt: Int,
+        val cause: ConnectFailure
+    ) : GatewayEvent
+
+    /** The upstream said that it did not run the attempt. */
+    public data class NotRun(
+        val requestId: RequestId,
+        val attempt: Int,
+        val status: Int,
+        /** Whether another process has the upstream's address. */
+        val isMisdirected: Boolean
+    ) : GatewayEvent
+
+    /** The head of the answer came. */
+    public data class HeadReceived(
+        val requestId: RequestId,
+        val attempt: Int,
+        val status: Int,
+        val load: EngineLoad?
+    ) : GatewayEvent
+
+    /** The first bytes of the answer went to the caller. */
+    public data class AnswerBegun(val requestId: RequestId, val attempt: Int) : GatewayEvent
+
+    /** A whole answer is held back until it is known whether it is delivered. */
+    public data class AnswerHeld(val requestId: RequestId, val attempt: Int, val status: Int) :
+        GatewayEvent
+
+    /** The last bytes of the answer went to the caller. */
+    public data class AnswerEnded(val requestId: RequestId, val attempt: Int, val status: Int) :
+        GatewayEvent
+
+    /** The attempt ended without a whole answer, and may have run. */
+    public data class AttemptLost(
+        val requestId: RequestId,
+        val attempt: Int,
+        val cause: AttemptFailure
+    ) : GatewayEvent
+
+    /** Nothing came from the upstream for [silence]. */
+    public data class AttemptSilent(
+        val requestId: RequestId,
+        val attempt: Int,
+        val silence: Duration
+    ) : GatewayEvent
+
+    /** The upstream refuses connections just after attempts there were lost. */
+    public data class UpstreamCrashed(val upstream: UpstreamKey) : GatewayEvent
+
+    /** A configuration came into force. */
+    public data class RoutesAccepted(val routes: RouteTable) : GatewayEvent
+
+    /** The list of upstreams changed. */
+    public data class UpstreamsListed(val upstreams: PersistentList<ListedUpstream>) :
+        GatewayEvent
+
+    /** Operators took zones out of service, or put them back. */
+    public data class EvacuationsChanged(val zones: PersistentSet<ZoneName>) : GatewayEvent
+
+    /** Other entries told what they have in flight. */
+    public data class PeersReported(
+        /** Entries that may be running, this one included; 1 or more. */
+        val entryCount: Int,
+        val inFlight: PersistentMap<UpstreamKey, Int>
+    ) : GatewayEvent
+
+    /** Another entry knows of crashes. */
+    public data class CrashLearned(val record: CrashRecord) : GatewayEvent
+
+    /** Whether what the process believes is fresh enough to act on. */
+    public data class ReadinessChanged(val isReady: Boolean) : GatewayEvent
+
+    /** The settings of the process changed. */
+    public data class SettingsChanged(val settings: GatewaySettings) : GatewayEvent
+
+    /** The process was asked to stop. */
+    public data object StopRequested : GatewayEvent
+
+    /** Time passed. */
+    public data object Tick : GatewayEvent
+}
+
+/** Load that an upstream told with an answer. */
+public data class EngineLoad(val running: Int, val waiting: Int, val slots: Int)
+
+/** Why a connection was not made. */
+public enum class ConnectFailure { REFUSED, TIMED_OUT, LOCAL_LIMIT }
+
+/** Why an attempt was lost. */
+public enum class AttemptFailure {
+    /** The upstream closed or reset the connection. */
+    CONNECTION_LOST,
+
+    /** What came is not an answer to the request. */
+    GARBLED,
+
+    /** Nothing came for too long. */
+    SILENT
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -0,0 +1,269 @@
+package org.shallotplank.core.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+import kotlinx.collections.immutable.toPersistentList
+import org.shallotplank.core.AttemptId
+import org.shallotplank.core.RequestId
+import org.shallotplank.core.Step
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.logRecord
+import org.shallotplank.core.quarantine.QuarantineVerdict
+import org.shallotplank.core.then
+
+/** The call and phase of [id] if [attempt] is its open attempt. */
+private fun GatewayState.open(id: RequestId, attempt: Int): OpenAttempt? {
+    val call = calls[id] ?: return null
+    val sent = call.phase as? GatewayPhase.Sent ?: return null
+    return if (sent.attempt == attempt) OpenAttempt(call, sent) else null
+}
+
+private class OpenAttempt(val call: GatewayCall, val sent: GatewayPhase.Sent)
+
+internal fun GatewayState.onConnectFailed(
+    event: GatewayEvent.ConnectFailed,
+    context: GatewayContext
+): GatewayStep {
+    val open = open(event.requestId, event.attempt) ?: return Step(this)
+    val record = attemptFailed(open, "connect_${event.cause.name.lowercase()}", context.now)
+    val isUpstreams = event.cause != ConnectFailure.LOCAL_LIMIT
+    val call = open.call.copy(
+        phase = GatewayPhase.Queued,
+        attemptsSent = open.call.attemptsSent - 1,
+        connectFailures = open.call.connectFailures + 1,
+        excluded = open.call.excluded.add(open.sent.upstream.id)
+    )
+    val marked = put(call).update(open.sent.upstream) {
+        if (isUpstreams) it.ended().failed(context.now) else it.ended()
+    }
+    return marked.logged(record).then {
+        if (call.connectFailures < MAX_CONNECT_FAILURES && context.now < call.deadline) {
+            it.dispatch(call, context)
+        } else {
+            it.endWithoutAnswer(call, GatewayRefusal.NO_UPSTREAM, context)
+        }
+    }
+}
+
+internal fun GatewayState.onNotRun(
+    event: GatewayEvent.NotRun,
+    context: GatewayContext
+): GatewayStep {
+    val open = open(event.requestId, event.attempt) ?: return Step(this)
+    val record = attemptFailed(open, "not_run_${event.status}", context.now)
+    val call = open.call.copy(
+        phase = GatewayPhase.Queued,
+        excluded = open.call.excluded.add(open.sent.upstream.id)
+    )
+    val marked = put(call).update(open.sent.upstream) {
+        when {
+            event.isMisdirected -> it.ended().copy(misdirectedAddress = it.record.address)
+            else -> it.ended().copy(fullUntil = context.now + FULL_TIME)
+        }
+    }
+    return marked.logged(record)
+        .then { it.retryOrEnd(call, GatewayRefusal.UPSTREAM_REFUSED, context) }
+}
+
+internal fun GatewayState.onHeadReceived(
+    event: GatewayEvent.HeadReceived,
+    now: Instant
+): GatewayState {
+    val open = open(event.requestId, event.attempt) ?: return this
+    val load = event.load
+    return put(open.call.copy(phase = open.sent.copy(hasHead = true))).update(open.sent.upstream) {
+        val answered = it.answered(now)
+        val isFull = load != null && load.waiting > 0 && load.running >= load.slots
+        if (isFull) answered.copy(fullUntil = now + FULL_TIME) else answered
+    }
+}
+
+internal fun GatewayState.onAnswerBegun(event: GatewayEvent.AnswerBegun): GatewayState {
+    val open = open(event.requestId, event.attempt) ?: return this
+    return put(open.call.copy(isAnswerBegun = true))
+}
+
+internal fun GatewayState.onAnswerHeld(
+    event: GatewayEvent.AnswerHeld,
+    context: GatewayContext
+): GatewayStep {
+    val open = open(event.requestId, event.attempt) ?: return Step(this)
+    val call = open.call
+    val isWorthRetrying = event.status >= STATUS_SERVER_ERROR &&
+        call.route.isIdempotent &&
+        mayTryAgain(call, context)
+    if (!isWorthRetrying) return effect(GatewayEffect.DeliverHeld(event.requestId))
+    val record = attemptFailed(open, "status_${event.status}", context.now)
+    val again = call.copy(
+        mayHaveRun = true,
+        excluded = call.excluded.add(open.sent.upstream.id)
+    )
+    val candidate = put(again).update(open.sent.upstream) { it.ended() }
+    val retried = candidate.logged(record).then { it.retry(again, context) }
+    val isSent = retried.effects.any { it is GatewayEffect.Send }
+    return if (isSent) retried else effect(GatewayEffect.DeliverHeld(event.requestId))
+}
+
+internal fun GatewayState.onAnswerEnded(
+    event: GatewayEvent.AnswerEnded,
+    context: GatewayContext
+): GatewayStep {
+    val open = open(event.requestId, event.attempt) ?: return Step(this)
+    val call = open.call
+    val record = logRecord(
+        LogEvent.GATEWAY_ANSWERED,
+        "request" to call.request.id,
+        "attempt_id" to call.request.attemptId,
+        "service" to call.service,
+        "upstream" to open.sent.upstream,
+        "status" to event.status,
+        "attempts" to call.attemptsSent,
+        "age_ms" to (context.now - call.request.arrivedAt).inWholeMilliseconds
+    )
+    val cleared = copy(quarantine = quarantine.answered(call.fingerprint, context.now))
+    return cleared.update(open.sent.upstream) { it.ended() }
+        .logged(record)
+        .then { it.release(call, context) }
+}
+
+internal fun GatewayState.onAttemptLost(
+    event: GatewayEvent.AttemptLost,
+    context: GatewayContext
+): GatewayStep {
+    val open = open(event.requestId, event.attempt) ?: return Step(this)
+    return attemptLost(open, event.cause, context)
+}
+
+private fun GatewayState.attemptLost(
+    open: OpenAttempt,
+    cause: AttemptFailure,
+    context: GatewayContext
+): GatewayStep {
+    val record = attemptFailed(open, cause.name.lowercase(), context.now)
+    val call = open.call.copy(
+        phase = GatewayPhase.Queued,
+        mayHaveRun = true,
+        excluded = open.call.excluded.add(open.sent.upstream.id)
+    )
+    val isLost = cause == AttemptFailure.CONNECTION_LOST
+    val suspect =
+        Suspect(call.fingerprint, AttemptId("${call.request.id}.${open.sent.attempt}"), context.now)
+    val marked = put(call).update(open.sent.upstream) {
+        val failed = it.ended().failed(context.now)
+        if (isLost) failed.copy(suspects = failed.suspects.add(suspect)) else failed
+    }
+    val check = marked.upstreams[open.sent.upstream]
+        ?.takeIf { isLost }
+        ?.let { GatewayEffect.CheckAlive(it.key, it.record.address) }
+    return Step(marked, listOfNotNull(check).toPersistentList())
+        .then { it.logged(record) }
+        .then { it.retryOrEnd(call, GatewayRefusal.UPSTREAM_LOST, context) }
+}
+
+/** Gives up an attempt that is silent while other upstreams of its service answer. */
+internal fun GatewayState.onAttemptSilent(
+    event: GatewayEvent.AttemptSilent,
+    context: GatewayContext
+): GatewayStep {
+    val open = open(event.requestId, event.attempt) ?: return Step(this)
+    val call = open.call
+    val patience = when {
+        !call.isAnswerBegun -> (call.route.goal * SILENT_GOALS).coerceAtLeast(MIN_SILENCE)
+        else -> ((call.route.longestPause ?: MIN_SILENCE) * SILENT_PAUSES)
+    }
+    val isAlone = upstreamsOf(call.service).any {
+        it.key != open.sent.upstream && context.now - it.lastHeadAt < OTHERS_ANSWER
+    }
+    val isGivenUp = event.silence >= patience &&
+        isAlone &&
+        call.route.isIdempotent &&
+        mayTryAgain(call, context)
+    if (!isGivenUp) return Step(this)
+    return effect(GatewayEffect.Withdraw(event.requestId, event.attempt))
+        .then { it.attemptLost(open, AttemptFailure.SILENT, context) }
+}
+
+internal fun GatewayState.onUpstreamCrashed(key: UpstreamKey, now: Instant): GatewayStep {
+    val upstream = upstreams[key] ?: return Step(this)
+    val recent = upstream.suspects.filter { now - it.at < CRASH_EVIDENCE }
+    val blamed = recent.fold(quarantine) { known, suspect ->
+        known.crashed(suspect.fingerprint, suspect.attempt, now)
+    }
+    val shared = recent.mapNotNull { blamed.records[it.fingerprint] }.distinct()
+        .map { GatewayEffect.ShareCrash(it) }
+    val record = logRecord(
+        LogEvent.GATEWAY_UPSTREAM_CRASHED,
+        "upstream" to key,
+        "suspects" to recent.size
+    )
+    val cleared = copy(quarantine = blamed)
+        .put(upstream.failed(now).copy(suspects = upstream.suspects.clear()))
+    return Step(
+        cleared,
+        (shared + GatewayEffect.Log(record)).toPersistentList()
+    )
+}
+
+private fun GatewayState.mayTryAgain(call: GatewayCall, context: GatewayContext): Boolean =
+    call.attemptsSent < call.route.maxAttempts &&
+        call.deadline - context.now > MIN_TIME_LEFT &&
+        mayRetry(call.service, context.now) &&
+        quarantine.verdict(call.fingerprint, context.now) != QuarantineVerdict.QUARANTINED
+
+/** Sends a call again where that is harmless and allowed, and ends it otherwise. */
+private fun GatewayState.retryOrEnd(
+    call: GatewayCall,
+    reason: GatewayRefusal,
+    context: GatewayContext
+): GatewayStep {
+    val isHarmless = !call.mayHaveRun || call.route.isIdempotent
+    if (!isHarmless || !mayTryAgain(call, context)) return endWithoutAnswer(call, reason, context)
+    return retry(call, context, reason)
+}
+
+private fun GatewayState.retry(
+    call: GatewayCall,
+    context: GatewayContext,
+    reason: GatewayRefusal = GatewayRefusal.UPSTREAM_LOST
+): GatewayStep {
+    val service = call.service
+    val counted = copy(
+        retries = retries.put(service, retriesOf(service).afterRepeat(context.now))
+    )
+    return counted.dispatch(call, context, reason)
+}
+
+private fun attemptFailed(open: OpenAttempt, cause: String, now: Instant) = logRecord(
+    LogEvent.GATEWAY_ATTEMPT_FAILED,
+    "request" to open.call.request.id,
+    "attempt_id" to open.call.request.attemptId,
+    "attempt" to open.sent.attempt,
+    "service" to open.call.service,
+    "upstream" to open.sent.upstream,
+    "cause" to cause,
+    "begun" to open.call.isAnswerBegun,
+    "attempt_ms" to (now - open.sent.sentAt).inWholeMilliseconds
+)
+
+private const val STATUS_SERVER_ERROR = 500
+private const val MAX_CONNECT_FAILURES = 3
+
+/** An upstream that refused as full has a free slot again after about one pass. */
+private val FULL_TIME: Duration = 100.milliseconds
+
+/** Goals after which an attempt without a first byte counts as hung. */
+private const val SILENT_GOALS = 1.5
+
+/** Pauses after which a stream counts as hung. */
+private const val SILENT_PAUSES = 8
+private val MIN_SILENCE = 400.milliseconds
+
+/** Time in which another upstream must have answered, so that not all of them stand still. */
+private val OTHERS_ANSWER = 300.milliseconds
+
+/** Less time than this is not enough for another attempt. */
+private val MIN_TIME_LEFT = 30.milliseconds
+
+/** A crash that is seen within this time of a lost attempt is put down to it. */
+private val CRASH_EVIDENCE = 1_500.milliseconds
--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
@@ -0,0 +1,41 @@
+package org.shallotplank.core.gateway
+
+import kotlin.random.Random
+import kotlin.time.Instant
+import org.shallotplank.core.Step
+
+/**
+ * Reduces one event of a gateway entry.
+ *
+ * Each request that arrived ends in exactly one of: the answer of an upstream, a refusal, a cut
+ * answer, or its caller's leaving. A request whose route is not idempotent is sent again only after
+ * an upstream said that it did not run it, or before anything was sent.
+ */
+public fun GatewayState.on(event: GatewayEvent, now: Instant, random: Random): GatewayStep {
+    val context = GatewayContext(now, random)
+    return when (event) {
+        is GatewayEvent.Arrived -> onArrived(event.request, context)
+        is GatewayEvent.CallerLeft -> onCallerLeft(event.requestId, context)
+        is GatewayEvent.ConnectFailed -> onConnectFailed(event, context)
+        is GatewayEvent.NotRun -> onNotRun(event, context)
+        is GatewayEvent.HeadReceived -> Step(onHeadReceived(event, now))
+        is GatewayEvent.AnswerBegun -> Step(onAnswerBegun(event))
+        is GatewayEvent.AnswerHeld -> onAnswerHeld(event, context)
+        is GatewayEvent.AnswerEnded -> onAnswerEnded(event, context)
+        is GatewayEvent.AttemptLost -> onAttemptLost(event, context)
+        is GatewayEvent.AttemptSilent -> onAttemptSilent(event, context)
+        is GatewayEvent.UpstreamCrashed -> onUpstreamCrashed(event.upstream, now)
+        is GatewayEvent.RoutesAccepted -> onRoutesAccepted(event.routes, context)
+        is GatewayEvent.UpstreamsListed -> onUpstreamsListed(event.upstreams, context)
+        is GatewayEvent.EvacuationsChanged -> onEvacuationsChanged(event.zones, context)
+        is GatewayEvent.PeersReported -> onPeersReported(event, context)
+        is GatewayEvent.CrashLearned -> Step(copy(quarantine = quarantine.merge(event.record)))
+        is GatewayEvent.ReadinessChanged -> Step(copy(isReady = event.isReady))
+        is GatewayEvent.SettingsChanged -> Step(copy(settings = event.settings))
+        GatewayEvent.StopRequested -> Step(copy(isStopping = true))
+        GatewayEvent.Tick -> onTick(context)
+    }
+}
+
+/** Time and randomness of one event. */
+internal class GatewayContext(val now: Instant, val random: Random)
--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
@@ -0,0 +1,80 @@
+package org.shallotplank.core.gateway
+
+import kotlin.time.Instant
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.shallotplank.core.RequestId
+import org.shallotplank.core.ServiceName
+import org.shallotplank.core.Step
+import org.shallotplank.core.ZoneName
+import org.shallotplank.core.admission.AdmissionQueue
+import org.shallotplank.core.log.LogRecord
+import org.shallotplank.core.quarantine.Quarantine
+
+/** A gateway entry's next state and what it wants done. */
+public typealias GatewayStep = Step<GatewayState, GatewayEffect>
+
+/**
+ * Everything that decides what a gateway entry does with requests.
+ *
+ * @property isReady whether what is believed is fresh enough to act on.
+ * @property outOfService zones whose upstreams get nothing.
+ * @property entryCount entries that may be running, among which global bounds are shared.
+ */
+public data class GatewayState(
+    val settings: GatewaySettings,
+    val routes: RouteTable? = null,
+    val isReady: Boolean = false,
+    val isStopping: Boolean = false,
+    val calls: PersistentMap<RequestId, GatewayCall> = persistentMapOf(),
+    val upstreams: PersistentMap<UpstreamKey, GatewayUpstream> = persistentMapOf(),
+    val outOfService: PersistentSet<ZoneName> = persistentSetOf(),
+    val queues: PersistentMap<ServiceName, AdmissionQueue> = persistentMapOf(),
+    val retries: PersistentMap<ServiceName, RetryWindow> = persistentMapOf(),
+    val quarantine: Quarantine = Quarantine(),
+    val entryCount: Int = 1
+) {
+    /** Attempts of this entry that have not ended, by upstream. */
+    public val inFlight: Map<UpstreamKey, Int>
+        get() = upstreams.values.filter { it.outstanding > 0 }
+            .associate { it.key to it.outstanding }
+
+    internal val routesInForce: RouteTable get() = routes ?: emptyRouteTable
+
+    internal fun service(name: ServiceName): UpstreamService? = routesInForce.services[name]
+
+    internal fun upstreamsOf(service: ServiceName): List<GatewayUpstream> =
+        upstreams.values.filter { it.record.service == service }
+
+    internal fun isInService(upstream: GatewayUpstream): Boolean =
+        upstream.record.zone !in outOfService
+
+    internal fun put(call: GatewayCall): GatewayState =
+        copy(calls = calls.put(call.request.id, call))
+
+    internal fun put(upstream: GatewayUpstream): GatewayState =
+        copy(upstreams = upstreams.put(upstream.key, upstream))
+
+    internal inline fun update(
+        key: UpstreamKey,
+        change: (GatewayUpstream) -> GatewayUpstream
+    ): GatewayState = upstreams[key]?.let { put(change(it)) } ?: this
+
+    internal fun retriesOf(service: ServiceName): RetryWindow =
+        retries[service] ?: RetryWindow(settings.retryWindow)
+
+    /** Whether one more repeat for [service] keeps to this entry's share of the budget. */
+    internal fun mayRetry(service: ServiceName, now: Instant): Boolean = retriesOf(service).allows(
+        ratio = settings.retryRatio,
+        slack = settings.retrySlack.toDouble() / entryCount.coerceAtLeast(1),
+        now = now
+    )
+
+    internal fun logged(record: LogRecord): GatewayStep =
+        Step(this, persistentListOf(GatewayEffect.Log(record)))
+
+    internal fun effect(effect: GatewayEffect): GatewayStep = Step(this, persistentListOf(effect))
+}
--- a/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
@@ -7,7 +7,7 @@
  * The catalogue of log events.
  *
  * Numbers are never reused. 1xxx are of entries, 2xxx of agents, 3xxx of the configuration,
- * 4xxx of rank groups and placement, 9xxx of processes as such.
+ * 4xxx of rank groups and placement, 5xxx of gateway entries, 9xxx of processes as such.
  */
 public enum class LogEvent(
     public val number: Int,
@@ -38,6 +38,26 @@
     CLAIM_UNRESOLVED(2009, Severity.WARN, "claim given up; it will be released"),
     CONFIGURATION_IN_FORCE(3001, Severity.INFO, "configuration in force"),
     CONFIGURATION_UNAVAILABLE(3002, Severity.WARN, "table service did not give the configuration"),
+    GATEWAY_REJECTED(5001, Severity.INFO, "request ended before admission"),
+    GATEWAY_QUEUED(5002, Severity.INFO, "request waits for a place"),
+    GATEWAY_SENT(5003, Severity.INFO, "attempt sent to an upstream"),
+    GATEWAY_ATTEMPT_FAILED(5004, Severity.WARN, "attempt ended without its answer"),
+    GATEWAY_ANSWERED(5005, Severity.INFO, "answer of an upstream delivered whole"),
+    GATEWAY_REFUSED(5006, Severity.WARN, "request ended without an upstream's answer"),
+    GATEWAY_CUT(5007, Severity.WARN, "answer broken off; the connection closes without its end"),
+    GATEWAY_CALLER_LEFT(5008, Severity.INFO, "caller closed its connection before the end"),
+    GATEWAY_UPSTREAM_CRASHED(5009, Severity.WARN, "upstream went down while it ran requests"),
+    GATEWAY_UPSTREAM_CHANGED(5010, Severity.INFO, "list of upstreams changed"),
+    GATEWAY_ZONES_CHANGED(5011, Severity.INFO, "zones out of service changed"),
+    GATEWAY_ROUTES_IN_FORCE(5012, Severity.INFO, "routes in force"),
+    GATEWAY_READINESS(5013, Severity.INFO, "readiness changed"),
+    GATEWAY_PEER_CHANGED(5014, Severity.INFO, "another entry changed its state"),
+    STORE_LOST(5015, Severity.WARN, "store gives no answers"),
+    STORE_REGAINED(5016, Severity.INFO, "store answers again"),
+    STORE_ROW_UNREADABLE(5017, Severity.WARN, "row of the store cannot be read; ignored"),
+    CALLER_MESSAGE_INVALID(5018, Severity.INFO, "message of a caller cannot be taken"),
+    SETTINGS_RELOADED(5020, Severity.INFO, "settings read again"),
+    LINES_LEFT_OUT(5019, Severity.WARN, "log lines left out to bound the volume"),
     PROCESS_STARTED(9001, Severity.INFO, "process started"),
     PROCESS_DRAINING(9002, Severity.INFO, "process stops taking work"),
     PROCESS_STOPPED(9003, Severity.INFO, "process stopped"),
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/Exchange.kt
@@ -0,0 +1,41 @@
+package org.shallotplank.gateway
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.FullHttpResponse
+import kotlin.time.Instant
+import org.shallotplank.core.RequestId
+import org.shallotplank.gateway.caller.CallerConnection
+import org.shallotplank.gateway.caller.CallerMessage
+import org.shallotplank.gateway.upstream.UpstreamAttempt
+
+/** A request with its caller's connection, from its arrival to its end. */
+internal class Exchange(
+    val id: RequestId,
+    val connection: CallerConnection,
+    val message: CallerMessage,
+    val arrivedAt: Instant
+) {
+    /** The attempt that runs, if one does. */
+    var attempt: UpstreamAttempt? = null
+
+    /** Whether the head of the answer went to the caller. */
+    var isAnswerBegun = false
+
+    /** Id of the last event that went to the caller, null before the first one. */
+    var lastEventId: String? = null
+
+    /** An answer that is held back. */
+    var held: FullHttpResponse? = null
+        set(value) {
+            field?.release()
+            field = value
+        }
+
+    val body: ByteBuf get() = message.body
+
+    /** Frees what the exchange holds. */
+    fun release() {
+        held = null
+        body.release()
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
@@ -0,0 +1,307 @@
+package org.shallotplank.gateway
+
+import io.netty.channel.EventLoopGroup
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.shallotplank.config.GatewayEntrySettings
+import org.shallotplank.core.Address
+import org.shallotplank.core.AttemptId
+import org.shallotplank.core.CustomerName
+import org.shallotplank.core.InstanceId
+import org.shallotplank.core.gateway.GatewayEvent
+import org.shallotplank.core.gateway.UpstreamKey
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.LogRecord
+import org.shallotplank.core.log.logRecord
+import org.shallotplank.core.quarantine.CrashRecord
+import org.shallotplank.core.quarantine.Quarantine
+import org.shallotplank.core.quarantine.RequestFingerprint
+import org.shallotplank.gateway.http.HttpClient
+import org.shallotplank.gateway.peer.KnownCrash
+import org.shallotplank.gateway.peer.PeerReport
+import org.shallotplank.gateway.peer.PeerRow
+import org.shallotplank.gateway.peer.PeerView
+import org.shallotplank.gateway.peer.Peers
+import org.shallotplank.gateway.peer.RowCopy
+import org.shallotplank.gateway.peer.TableCopy
+import org.shallotplank.gateway.peer.UpstreamInFlight
+import org.shallotplank.gateway.peer.fetchTable
+import org.shallotplank.gateway.store.FollowSettings
+import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.TableFollower
+import org.shallotplank.gateway.store.TableReplica
+
+/**
+ * What a gateway entry believes of the world: the store's tables and the other entries.
+ *
+ * Copies of tables come from the store, and from other entries while the store does not answer.
+ */
+internal class GatewayBeliefs(
+    private val settings: GatewayEntrySettings,
+    private val schema: StoreSchema,
+    group: EventLoopGroup,
+    private val scope: CoroutineScope,
+    private val environment: GatewayEnvironment,
+    private val exchanges: GatewayExchanges,
+    private val log: (LogRecord) -> Unit
+) {
+    private val clock = environment.clock
+    private val upstreams =
+        UpstreamBelief(schema.readUpstream, settings.toReducerSettings().returnGrace, log)
+    private val peers = Peers(
+        group = group,
+        own = settings.peerAddress,
+        scope = scope,
+        clock = clock,
+        aliveFor = PEER_ALIVE,
+        log = log,
+        onReport = ::onPeerReport
+    )
+    private lateinit var followers: Map<String, TableFollower>
+    private lateinit var registration: Registration
+    private var seeds = settings.seedAddresses.toSet()
+    private var staleSince: Instant? = clock.now()
+    private val crashes = LinkedHashMap<KnownCrash, Instant>()
+
+    /** Time since the store last answered, for the metrics. */
+    val storeAge: Duration
+        get() = clock.now() - (followers.values.maxOfOrNull { it.answeredAt } ?: clock.now())
+
+    /** Starts to follow the store and the other entries. */
+    fun start(store: MetadataStore) {
+        val follows = listOf(
+            FollowSettings(schema.operatorTable, wait = OPERATOR_WAIT),
+            FollowSettings(schema.upstreamTable, wait = UPSTREAM_WAIT, pause = UPSTREAM_PAUSE),
+            FollowSettings(schema.entryTable, wait = ENTRY_WAIT, pause = ENTRY_PAUSE)
+        )
+        followers = follows.associate { follow ->
+            follow.table to TableFollower(
+                settings = follow,
+                store = store,
+                clock = clock,
+                random = environment.random,
+                log = log,
+                onContact = { replica, isChanged -> onContact(follow.table, replica, isChanged) }
+            )
+        }
+        val row = PeerRow(
+            incarnation = environment.incarnation,
+            peerAddress = settings.peerAddress.toString(),
+            publicAddress = settings.listenAddress.toString(),
+            zone = settings.zone.value
+        )
+        registration = Registration(settings.instanceId.value, row, schema.entryTable, store)
+        exchanges.onCrash = ::onOwnCrash
+        followers.values.forEach { follower -> scope.launch { follower.run() } }
+        scope.launch { keepRegistered() }
+        peers.follow(seeds)
+    }
+
+    /** Takes over another list of entries to ask first. */
+    fun updateSeeds(changed: Set<Address>) {
+        seeds = changed
+        followPeers()
+    }
+
+    /** The process stood still; nothing is believed until it is read again. */
+    fun onPause(length: Duration) {
+        staleSince = clock.now()
+        setReady(false, "paused for ${length.inWholeMilliseconds} ms")
+    }
+
+    /** Follows the time: upstreams that did not return are gone, and staleness ends. */
+    fun tick(now: Instant) {
+        if (upstreams.expire(now)) emitUpstreams()
+        crashes.values.removeAll { now - it > CRASH_SHARED }
+        updateReadiness(now)
+        emitPeers()
+    }
+
+    /** Entries that callers may use: this one first, if it serves. */
+    fun servingEntries(): List<Address> {
+        val isServing = exchanges.state.isReady && !exchanges.state.isStopping
+        val own = listOfNotNull(settings.listenAddress.takeIf { isServing })
+        val others = peers.alive
+            .mapNotNull { it.report }
+            .filter { it.isReady && !it.isStopping }
+            .mapNotNull { addressOf(it.publicAddress) }
+        return (own + others).distinct()
+    }
+
+    /** Takes this entry out of the store. */
+    suspend fun unregister(): Unit = registration.remove(entryReplica())
+
+    /** What this entry tells the others. */
+    fun report(): PeerReport = PeerReport(
+        instance = settings.instanceId.value,
+        incarnation = environment.incarnation,
+        publicAddress = settings.listenAddress.toString(),
+        zone = settings.zone.value,
+        isReady = exchanges.state.isReady,
+        isStopping = exchanges.state.isStopping,
+        tableVersions = followers.mapValues { (_, follower) -> follower.replica.version },
+        inFlight = exchanges.state.inFlight
+            .map { (key, count) -> UpstreamInFlight(key.id.value, key.incarnation, count) },
+        crashes = crashes.keys.toList()
+    )
+
+    /** The copy of [table], or null before there is one. */
+    fun tableCopy(table: String): TableCopy? {
+        val replica = followers[table]?.replica?.takeIf { it.version >= 0 } ?: return null
+        val rows = replica.rows.map { RowCopy(it.key, it.value, it.version) }
+        return TableCopy(replica.version, rows)
+    }
+
+    private fun entryReplica(): TableReplica = followers.getValue(schema.entryTable).replica
+
+    private fun onContact(table: String, replica: TableReplica, isChanged: Boolean) {
+        if (!isChanged) return
+        when (table) {
+            schema.operatorTable -> onOperatorRows(replica)
+            schema.upstreamTable -> {
+                val failedAt = followers.getValue(table).failedAt
+                val isSteady = clock.now() - failedAt > STORE_SETTLED
+                upstreams.update(replica, isSteady, clock.now())
+                emitUpstreams()
+            }
+            schema.entryTable -> followPeers()
+        }
+    }
+
+    private fun onOperatorRows(replica: TableReplica) {
+        val rows = schema.readOperatorRows(replica.rows)
+        rows.findings.forEach { finding ->
+            log(logRecord(LogEvent.STORE_ROW_UNREADABLE, "row" to "operator", "detail" to finding))
+        }
+        exchanges.emit(GatewayEvent.EvacuationsChanged(rows.outOfService))
+        rows.routes?.let { exchanges.emit(GatewayEvent.RoutesAccepted(it)) }
+    }
+
+    private fun emitUpstreams(): Unit =
+        exchanges.emit(GatewayEvent.UpstreamsListed(upstreams.listed()))
+
+    private fun followPeers() {
+        val registered = entryReplica().rows
+            .mapNotNull { row -> decodeRow(row.value)?.peerAddress?.let(::addressOf) }
+        peers.follow(registered.toSet() + seeds)
+    }
+
+    private fun emitPeers() {
+        val reports = peers.alive.mapNotNull { it.report }
+        val inFlight = reports.flatMap { it.inFlight }
+            .groupBy { UpstreamKey(InstanceId(it.id), it.incarnation) }
+            .mapValues { (_, counts) -> counts.sumOf { it.count } }
+        val known = (entryReplica().rows.map { it.key } + settings.instanceId.value).distinct().size
+        exchanges.emit(
+            GatewayEvent.PeersReported(
+                entryCount = maxOf(known, reports.size + 1),
+                inFlight = inFlight.toPersistentMap()
+            )
+        )
+    }
+
+    private suspend fun onPeerReport(view: PeerView, client: HttpClient) {
+        val report = view.report ?: return
+        report.crashes.forEach(::onPeerCrash)
+        for ((table, version) in report.tableVersions) {
+            val follower = followers[table] ?: continue
+            val isAnswered = clock.now() - follower.answeredAt < STORE_TRUSTED
+            if (isAnswered || version <= follower.replica.version) continue
+            fetchTable(client, table, TABLE_TIMEOUT)?.let { follower.adopt(it) }
+        }
+    }
+
+    private fun onOwnCrash(record: CrashRecord) {
+        for (crash in record.crashes) {
+            val fingerprint = record.fingerprint
+            crashes[
+                KnownCrash(
+                    fingerprint.customer.value,
+                    fingerprint.bodySha256,
+                    crash.attempt.value
+                )
+            ] =
+                clock.now()
+        }
+    }
+
+    /** Steady clocks differ between processes, so a crash counts from when it is heard of. */
+    private fun onPeerCrash(crash: KnownCrash) {
+        if (crashes.put(crash, crashes[crash] ?: clock.now()) != null) return
+        val fingerprint = RequestFingerprint(CustomerName(crash.customer), crash.bodySha256)
+        val record = Quarantine()
+            .crashed(fingerprint, AttemptId(crash.attempt), clock.now())
+            .records.getValue(fingerprint)
+        exchanges.emit(GatewayEvent.CrashLearned(record))
+    }
+
+    private fun updateReadiness(now: Instant) {
+        val since = staleSince ?: return
+        val isComplete = followers.values.all { it.replica.version >= 0 }
+        val isFresh = followers.values.all { it.answeredAt > since }
+        val isWaitOver = now - since > STALE_LIMIT
+        if (!isComplete || exchanges.state.routes == null) return
+        if (isFresh || isWaitOver) {
+            staleSince = null
+            setReady(true, if (isFresh) "store was read" else "store gave no answer in time")
+        }
+    }
+
+    private fun setReady(isReady: Boolean, because: String) {
+        if (exchanges.state.isReady == isReady) return
+        log(logRecord(LogEvent.GATEWAY_READINESS, "ready" to isReady, "because" to because))
+        exchanges.emit(GatewayEvent.ReadinessChanged(isReady))
+    }
+
+    private suspend fun keepRegistered() {
+        while (!exchanges.state.isStopping) {
+            val replica = entryReplica()
+            if (replica.version >= 0) registration.ensure(replica)
+            delay(REGISTRATION_INTERVAL)
+        }
+    }
+
+    private fun decodeRow(value: String): PeerRow? = try {
+        Json.decodeFromString<PeerRow>(value)
+    } catch (e: SerializationException) {
+        log(logRecord(LogEvent.STORE_ROW_UNREADABLE, "row" to "entry", "detail" to e.message))
+        null
+    }
+
+    private fun addressOf(text: String): Address? {
+        val port = text.substringAfterLast(':').toIntOrNull() ?: return null
+        return Address(text.substringBeforeLast(':'), port)
+    }
+
+    private companion object {
+        /** Longest call for changes; a connection that went silent is given up soon after it. */
+        val OPERATOR_WAIT = 1_200.milliseconds
+        val UPSTREAM_WAIT = 1_000.milliseconds
+        val UPSTREAM_PAUSE = 300.milliseconds
+        val ENTRY_WAIT = 2_500.milliseconds
+        val ENTRY_PAUSE = 500.milliseconds
+
+        /** Several reports of an entry fit in; see [Peers]. */
+        val PEER_ALIVE = 2.seconds
+
+        /** After this, tables are taken from entries that the store answers. */
+        val STORE_TRUSTED = 2_000.milliseconds
+
+        /** For this long after a failure of the store, a row that vanished may have lapsed. */
+        val STORE_SETTLED = 3.seconds
+        val TABLE_TIMEOUT = 1.seconds
+
+        /** After this, an entry that was paused serves with what it knows. */
+        val STALE_LIMIT = 2.seconds
+        val REGISTRATION_INTERVAL = 1.seconds
+        val CRASH_SHARED = 60.seconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -0,0 +1,276 @@
+package org.shallotplank.gateway
+
+import io.netty.channel.EventLoopGroup
+import java.security.MessageDigest
+import java.util.HexFormat
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import org.shallotplank.config.GatewayEntrySettings
+import org.shallotplank.core.RequestId
+import org.shallotplank.core.gateway.CallerLimits
+import org.shallotplank.core.gateway.GatewayEffect
+import org.shallotplank.core.gateway.GatewayEvent
+import org.shallotplank.core.gateway.GatewayRequest
+import org.shallotplank.core.gateway.GatewayState
+import org.shallotplank.core.gateway.on
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.LogRecord
+import org.shallotplank.core.log.logRecord
+import org.shallotplank.core.quarantine.CrashRecord
+import org.shallotplank.gateway.caller.CallerConnection
+import org.shallotplank.gateway.caller.CallerListener
+import org.shallotplank.gateway.caller.CallerMessage
+import org.shallotplank.gateway.caller.CallerServer
+import org.shallotplank.gateway.upstream.AttemptContext
+import org.shallotplank.gateway.upstream.UpstreamAttempt
+import org.shallotplank.gateway.upstream.UpstreamPool
+import org.shallotplank.gateway.upstream.UpstreamTarget
+import org.shallotplank.gateway.upstream.forwardedRequest
+
+/**
+ * Feeds the reducer with what happens on the connections and runs its effects there.
+ *
+ * To be used on the event loop only.
+ */
+internal class GatewayExchanges(
+    private val settings: GatewayEntrySettings,
+    private val headers: HeaderNames,
+    group: EventLoopGroup,
+    private val environment: GatewayEnvironment,
+    private val metrics: GatewayMetrics,
+    private val log: (LogRecord) -> Unit
+) : CallerListener {
+    private val clock = environment.clock
+    private val pool = UpstreamPool(group, clock)
+    private val server = CallerServer(
+        group,
+        settings.listenAddress,
+        (settings.maxConnections * CALLER_SHARE).toInt(),
+        this,
+        clock
+    )
+    private val attempts = AttemptContext(headers, clock, pool, ::emit)
+    private val open = LinkedHashMap<RequestId, Exchange>()
+    private val openByConnection = HashMap<CallerConnection, Exchange>()
+    private val events = ArrayDeque<GatewayEvent>()
+    private var isReducing = false
+    private var requestCount = 0L
+    private var sweptAt: Instant = clock.now()
+
+    /** Called with each crash that the reducer blames on a request. */
+    var onCrash: (CrashRecord) -> Unit = {}
+
+    /** The state after the last event. */
+    var state = GatewayState(settings.toReducerSettings())
+        private set
+
+    val openCount: Int get() = open.size
+
+    override val limits: CallerLimits get() = state.routes?.limits ?: CallerLimits()
+
+    override val isStopping: Boolean get() = state.isStopping
+
+    /** Starts to listen for callers. */
+    fun start() {
+        server.start()
+        metrics.gauge(GatewayMetric.IN_FLIGHT) { open.size }
+        metrics.gauge(GatewayMetric.CALLER_CONNECTIONS) { server.connectionCount }
+        metrics.gauge(GatewayMetric.UPSTREAM_CONNECTIONS) { pool.openCount }
+        metrics.gauge(GatewayMetric.UPSTREAMS) { state.upstreams.size }
+        metrics.gauge(GatewayMetric.CONFIGURATION_VERSION) { state.routes?.version?.value ?: 0 }
+        metrics.gauge(GatewayMetric.READY) { if (state.isReady && !state.isStopping) 1 else 0 }
+    }
+
+    /** Stops to listen and closes the connections that wait for no answer. */
+    fun closeIdle(): Unit = server.closeIdle()
+
+    /** Reduces [event] once the events before it are reduced. */
+    fun emit(event: GatewayEvent) {
+        events += event
+        if (isReducing) return
+        isReducing = true
+        try {
+            while (events.isNotEmpty()) reduce(events.removeFirst())
+        } finally {
+            isReducing = false
+        }
+    }
+
+    private fun reduce(event: GatewayEvent) {
+        val step = state.on(event, clock.now(), environment.random)
+        state = step.state
+        step.effects.forEach(::perform)
+        if (event is GatewayEvent.AnswerEnded) finish(event.requestId, RequestOutcome.ANSWERED)
+    }
+
+    /** Tells the reducer of the time and of silent upstreams, and closes what is overdue. */
+    fun tick(now: Instant) {
+        for (exchange in open.values.toList()) {
+            val attempt = exchange.attempt?.takeIf { it.isRunning } ?: continue
+            val silence = attempt.silence(now)
+            if (silence >= SILENCE_STEP) {
+                emit(GatewayEvent.AttemptSilent(exchange.id, attempt.attemptNumber, silence))
+            }
+        }
+        emit(GatewayEvent.Tick)
+        if (now - sweptAt >= SWEEP_INTERVAL) {
+            sweptAt = now
+            server.closeOverdue(now)
+            pool.closeExpired()
+        }
+    }
+
+    override fun onRequest(connection: CallerConnection, message: CallerMessage) {
+        requestCount++
+        val now = clock.now()
+        val incarnation = environment.incarnation.toString(ID_RADIX)
+        val id = RequestId("${settings.instanceId}-$incarnation-$requestCount")
+        val exchange = Exchange(id, connection, message, now)
+        open[id] = exchange
+        openByConnection[connection] = exchange
+        val request = GatewayRequest(
+            id = id,
+            attemptId = message.headers[headers.attemptId],
+            host = message.headers["Host"].orEmpty().substringBefore(':'),
+            path = message.uri,
+            credential = message.headers[headers.credential],
+            timeLeft = message.headers[headers.timeLeftMillis]?.trim()?.toLongOrNull()?.milliseconds,
+            bodySha256 = digestOf(message),
+            arrivedAt = now
+        )
+        emit(GatewayEvent.Arrived(request))
+    }
+
+    private fun digestOf(message: CallerMessage): String {
+        val digest = MessageDigest.getInstance("SHA-256")
+        digest.update("${message.method} ${message.uri}\n".toByteArray())
+        digest.update(message.body.nioBuffer())
+        return HexFormat.of().formatHex(digest.digest())
+    }
+
+    override fun onInvalid(connection: CallerConnection, status: Int, detail: String): Unit = log(
+        logRecord(
+            LogEvent.CALLER_MESSAGE_INVALID,
+            "caller" to connection.remote,
+            "status" to status,
+            "detail" to detail
+        )
+    )
+
+    override fun onClosed(connection: CallerConnection, isAnswerOpen: Boolean) {
+        val exchange = openByConnection[connection] ?: return
+        emit(GatewayEvent.CallerLeft(exchange.id))
+        finish(exchange.id, RequestOutcome.CALLER_LEFT)
+    }
+
+    override fun onWritable(connection: CallerConnection, isWritable: Boolean) {
+        openByConnection[connection]?.attempt?.setReading(isWritable)
+    }
+
+    private fun perform(effect: GatewayEffect) {
+        when (effect) {
+            is GatewayEffect.Send -> send(effect)
+            is GatewayEffect.Withdraw -> withdraw(effect)
+            is GatewayEffect.DeliverHeld -> deliver(effect.requestId)
+            is GatewayEffect.Refuse -> refuse(effect)
+            is GatewayEffect.Cut -> cut(effect.requestId)
+            is GatewayEffect.CheckAlive -> checkAlive(effect)
+            is GatewayEffect.ShareCrash -> onCrash(effect.record)
+            is GatewayEffect.Log -> log(effect.record)
+        }
+    }
+
+    private fun send(send: GatewayEffect.Send) {
+        val exchange = open[send.requestId] ?: return
+        val target = UpstreamTarget(send.upstream, send.address)
+        val attempt = UpstreamAttempt(exchange, send.attempt, target, send.isStream, attempts)
+        exchange.attempt = attempt
+        exchange.held = null
+        pool.acquire(target, send.needsNewConnection, send.maxConnections) { result ->
+            result.fold(
+                ifLeft = { cause ->
+                    if (attempt.isRunning) {
+                        attempt.cancel()
+                        emit(GatewayEvent.ConnectFailed(send.requestId, send.attempt, cause))
+                    }
+                },
+                ifRight = { connection ->
+                    if (attempt.isRunning) {
+                        attempt.start(connection, forwardedRequest(exchange, send, headers))
+                    } else {
+                        pool.release(target, connection)
+                    }
+                }
+            )
+        }
+    }
+
+    private fun withdraw(withdraw: GatewayEffect.Withdraw) {
+        open[withdraw.requestId]?.attempt
+            ?.takeIf { it.attemptNumber == withdraw.attempt }
+            ?.cancel()
+    }
+
+    private fun deliver(id: RequestId) {
+        val exchange = open[id] ?: return
+        val held = exchange.held ?: return
+        val attempt = exchange.attempt ?: return
+        val status = held.status().code()
+        if (exchange.isAnswerBegun) {
+            exchange.connection.cut()
+        } else {
+            exchange.connection.sendWhole(held.retain())
+        }
+        emit(GatewayEvent.AnswerEnded(id, attempt.attemptNumber, status))
+    }
+
+    private fun refuse(refuse: GatewayEffect.Refuse) {
+        val exchange = open[refuse.requestId] ?: return
+        val outcome = when {
+            refuse.status == STATUS_UNAVAILABLE -> RequestOutcome.REFUSED
+            refuse.status < STATUS_SERVER_ERROR -> RequestOutcome.REJECTED
+            else -> RequestOutcome.FAILED
+        }
+        finish(refuse.requestId, outcome)
+        exchange.connection.sendOwn(
+            refuse.status,
+            refuse.reason.name.lowercase(),
+            refuse.retryAfter
+        )
+    }
+
+    private fun cut(id: RequestId) {
+        val exchange = open[id] ?: return
+        finish(id, RequestOutcome.CUT)
+        exchange.connection.cut()
+    }
+
+    private fun checkAlive(check: GatewayEffect.CheckAlive) {
+        pool.check(UpstreamTarget(check.upstream, check.address)) { isRefused ->
+            if (isRefused) emit(GatewayEvent.UpstreamCrashed(check.upstream))
+        }
+    }
+
+    private fun finish(id: RequestId, outcome: RequestOutcome) {
+        val exchange = open.remove(id) ?: return
+        openByConnection.remove(exchange.connection, exchange)
+        metrics.ended(outcome, clock.now() - exchange.arrivedAt)
+        exchange.attempt?.cancel()
+        exchange.release()
+    }
+
+    private companion object {
+        const val ID_RADIX = 36
+
+        /** Part of the connections that may be callers'; each may need one to an upstream. */
+        const val CALLER_SHARE = 0.6
+        const val STATUS_SERVER_ERROR = 500
+        const val STATUS_UNAVAILABLE = 503
+
+        /** Silence below this is never of interest. */
+        val SILENCE_STEP: Duration = 300.milliseconds
+        val SWEEP_INTERVAL = 0.25.seconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
@@ -0,0 +1,81 @@
+package org.shallotplank.gateway
+
+import io.netty.channel.EventLoopGroup
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.encodeToByteArray
+import org.shallotplank.config.GatewayEntrySettings
+import org.shallotplank.gateway.http.EndpointRequest
+import org.shallotplank.gateway.http.HttpCall
+import org.shallotplank.gateway.http.HttpEndpoint
+import org.shallotplank.gateway.http.HttpReply
+import org.shallotplank.gateway.peer.Peers
+
+/** The interfaces of an entry beside that for callers: readiness, directory, peers, metrics. */
+internal class GatewayInterfaces(
+    private val settings: GatewayEntrySettings,
+    private val wire: DirectoryWire,
+    private val group: EventLoopGroup,
+    private val metrics: GatewayMetrics,
+    private val beliefs: GatewayBeliefs,
+    private val exchanges: GatewayExchanges,
+    private val environment: GatewayEnvironment
+) {
+    /** Starts to listen; throws [java.io.IOException] if an address cannot be had. */
+    fun start() {
+        HttpEndpoint(group, settings.readinessAddress, ::readiness).start()
+        HttpEndpoint(group, settings.directoryAddress, ::entries).start()
+        HttpEndpoint(group, settings.peerAddress, ::peer).start()
+        val metricsAddress = settings.listenAddress.copy(port = settings.metricsPort)
+        HttpEndpoint(group, metricsAddress, ::metrics).start()
+    }
+
+    private fun readiness(request: EndpointRequest): HttpReply = when {
+        request.path != wire.readinessPath -> HttpReply(NOT_FOUND)
+        exchanges.state.isReady && !exchanges.state.isStopping -> HttpReply(OK)
+        else -> HttpReply(UNAVAILABLE)
+    }
+
+    private fun entries(request: EndpointRequest): HttpReply {
+        if (request.path != wire.directoryPath) return HttpReply(NOT_FOUND)
+        val addresses = beliefs.servingEntries().take(MAX_ADDRESSES)
+        if (addresses.isEmpty()) return HttpReply(UNAVAILABLE)
+        val ttlSeconds = settings.entryListTtl.coerceAtMost(
+            MAX_LIST_TTL
+        ).toDouble(DurationUnit.SECONDS)
+        return HttpReply(OK, wire.entryList(addresses, ttlSeconds))
+    }
+
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun peer(request: EndpointRequest): HttpReply = when (request.path) {
+        Peers.REPORT_PATH ->
+            HttpReply(OK, Cbor.encodeToByteArray(beliefs.report()), HttpCall.CBOR)
+        Peers.TABLE_PATH -> {
+            val copy = request.parameter("name")?.let { beliefs.tableCopy(it) }
+            if (copy == null) {
+                HttpReply(NOT_FOUND)
+            } else {
+                HttpReply(OK, Cbor.encodeToByteArray(copy), HttpCall.CBOR)
+            }
+        }
+        else -> HttpReply(NOT_FOUND)
+    }
+
+    @Suppress("UNUSED_PARAMETER")
+    private fun metrics(request: EndpointRequest): HttpReply =
+        HttpReply(OK, metrics.scrape().toByteArray(), HttpCall.TEXT)
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val UNAVAILABLE = 503
+
+        /** Callers take no more addresses than this from one answer. */
+        const val MAX_ADDRESSES = 64
+
+        /** Callers should hear of an entry that left within a few seconds. */
+        val MAX_LIST_TTL = 2.seconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
@@ -0,0 +1,183 @@
+package org.shallotplank.gateway
+
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.shallotplank.config.GatewayEntrySettings
+import org.shallotplank.core.gateway.GatewayEvent
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.LogRecord
+import org.shallotplank.core.log.logRecord
+import org.shallotplank.gateway.log.JsonLogWriter
+import org.shallotplank.gateway.store.MetadataStore
+
+/** What a gateway entry depends on from outside. */
+public class GatewayEnvironment(
+    public val clock: Clock,
+    public val random: Random,
+    public val writer: JsonLogWriter,
+    /** Start of the process as a number that no earlier start of the same instance had. */
+    public val incarnation: Long
+)
+
+/**
+ * A gateway entry: forwards requests by host and path straight to upstreams.
+ *
+ * All of it runs on one event loop, so that nothing is shared between threads.
+ *
+ * @param store opens the store's client on the event loop that it is given.
+ */
+public class GatewayProcess(
+    private val settings: GatewayEntrySettings,
+    private val headers: HeaderNames,
+    private val schema: StoreSchema,
+    private val directory: DirectoryWire,
+    private val store: (EventLoopGroup) -> MetadataStore,
+    private val environment: GatewayEnvironment
+) {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val clock = environment.clock
+    private val metrics = GatewayMetrics()
+    private val failures = CoroutineExceptionHandler { _, failure -> logFailure(failure) }
+    private val scope =
+        CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher() + failures)
+    private val stopped = CountDownLatch(1)
+    private val exchanges = GatewayExchanges(
+        settings = settings,
+        headers = headers,
+        group = group,
+        environment = environment,
+        metrics = metrics,
+        log = ::log
+    )
+    private val beliefs = GatewayBeliefs(
+        settings = settings,
+        schema = schema,
+        group = group,
+        scope = scope,
+        environment = environment,
+        exchanges = exchanges,
+        log = ::log
+    )
+    private val interfaces =
+        GatewayInterfaces(settings, directory, group, metrics, beliefs, exchanges, environment)
+    private var lastTickAt: Instant = clock.now()
+
+    /** Starts to listen and to follow the store. */
+    public fun start() {
+        log(
+            logRecord(
+                LogEvent.PROCESS_STARTED,
+                "instance" to settings.instanceId.value,
+                "incarnation" to environment.incarnation,
+                "zone" to settings.zone,
+                "callers" to settings.listenAddress
+            )
+        )
+        exchanges.start()
+        interfaces.start()
+        loop.execute {
+            lastTickAt = clock.now()
+            beliefs.start(store(group))
+        }
+        loop.scheduleAtFixedRate(
+            ::tick,
+            TICK.inWholeMilliseconds,
+            TICK.inWholeMilliseconds,
+            TimeUnit.MILLISECONDS
+        )
+    }
+
+    /** Takes over changed settings, as far as they may change while the process runs. */
+    public fun reload(changed: GatewayEntrySettings) {
+        loop.execute {
+            log(
+                logRecord(
+                    LogEvent.SETTINGS_RELOADED,
+                    "seeds" to changed.seedAddresses.toSet().joinToString(",")
+                )
+            )
+            exchanges.emit(GatewayEvent.SettingsChanged(changed.toReducerSettings()))
+            beliefs.updateSeeds(changed.seedAddresses.toSet())
+        }
+    }
+
+    /** Stops gracefully and returns once nothing is left to do. */
+    public fun stop() {
+        loop.execute { scope.launch { drain() } }
+        stopped.await(settings.stopGrace.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        log(logRecord(LogEvent.PROCESS_STOPPED, "open_requests" to exchanges.openCount))
+        environment.writer.flush(FLUSH.inWholeMilliseconds)
+    }
+
+    private suspend fun drain() {
+        val startedAt = clock.now()
+        log(logRecord(LogEvent.PROCESS_DRAINING, "open_requests" to exchanges.openCount))
+        exchanges.emit(GatewayEvent.StopRequested)
+        scope.launch { beliefs.unregister() }
+        delay(LINGER.coerceAtMost(settings.stopGrace / 2))
+        exchanges.closeIdle()
+        val end = startedAt + settings.stopGrace - EXIT_MARGIN
+        while (exchanges.openCount > 0 && clock.now() < end) {
+            delay(TICK)
+            exchanges.closeIdle()
+        }
+        delay(TICK)
+        scope.cancel()
+        stopped.countDown()
+    }
+
+    private fun tick() {
+        try {
+            val now = clock.now()
+            if (now - lastTickAt > PAUSE_LIMIT) beliefs.onPause(now - lastTickAt)
+            lastTickAt = now
+            beliefs.tick(now)
+            exchanges.tick(now)
+        } catch (e: Exception) {
+            logFailure(e)
+        }
+    }
+
+    private fun log(record: LogRecord) {
+        metrics.countEvent(record.event)
+        environment.writer.write(record)
+    }
+
+    private fun logFailure(failure: Throwable) {
+        val place = failure.stackTrace.firstOrNull()
+        val record = logRecord(LogEvent.INTERNAL_ERROR, "error" to failure, "place" to place)
+        log(record)
+    }
+
+    private companion object {
+        /** Resolution of timeouts; a tenth of the half second in which they have to act. */
+        val TICK = 50.milliseconds
+
+        /** A pause longer than this is a freeze, after which beliefs are read again. */
+        val PAUSE_LIMIT: Duration = 700.milliseconds
+
+        /** Callers hear within this time that the entry leaves; new requests are still served. */
+        val LINGER = 3.seconds
+
+        /** Left at the end of the grace for closing. */
+        val EXIT_MARGIN = 700.milliseconds
+        val FLUSH = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/HeaderNames.kt
@@ -0,0 +1,26 @@
+package org.shallotplank.gateway
+
+/**
+ * Names of the headers that callers and upstreams speak with the gateway.
+ *
+ * @property attemptId id that a caller gives to one attempt, echoed by upstreams.
+ * @property timeLeftMillis milliseconds that the sender still waits.
+ * @property credential secret of the caller; never passed on.
+ * @property customer name of the credential's holder, set by the gateway alone.
+ * @property expectedUpstream id of the upstream that is meant; any other refuses.
+ * @property requestPriority rank of the request at an engine.
+ * @property notRun present on answers of upstreams that did not run the request.
+ * @property engineLoad running requests, waiting requests and slots of the answering engine.
+ * @property lastEventId id of the last event that the caller has of a stream.
+ */
+public data class HeaderNames(
+    val attemptId: String,
+    val timeLeftMillis: String,
+    val credential: String,
+    val customer: String,
+    val expectedUpstream: String,
+    val requestPriority: String,
+    val notRun: String,
+    val engineLoad: String,
+    val lastEventId: String
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/Registration.kt
@@ -0,0 +1,38 @@
+package org.shallotplank.gateway
+
+import kotlinx.serialization.json.Json
+import org.shallotplank.gateway.peer.PeerRow
+import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.TableReplica
+
+/**
+ * Keeps the row of an entry in the store.
+ *
+ * Each write expects the version that was read, so that one that is carried out late does nothing
+ * to a row that was written since.
+ */
+internal class Registration(
+    private val instance: String,
+    row: PeerRow,
+    private val table: String,
+    private val store: MetadataStore
+) {
+    private val value = Json.encodeToString(row)
+    private var writtenOver: Long? = null
+
+    /** Writes the row if [replica] does not show it. */
+    suspend fun ensure(replica: TableReplica) {
+        val present = replica.row(instance)
+        if (present?.value == value) return
+        val expected = present?.version ?: 0
+        if (writtenOver == expected) return
+        val isDone = store.write(table, instance, value, expected).isRight()
+        writtenOver = expected.takeIf { isDone }
+    }
+
+    /** Deletes the row, if [replica] shows it. */
+    suspend fun remove(replica: TableReplica) {
+        val present = replica.row(instance)?.takeIf { it.value == value } ?: return
+        store.delete(table, instance, present.version)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/UpstreamBelief.kt
@@ -0,0 +1,70 @@
+package org.shallotplank.gateway
+
+import arrow.core.Either
+import kotlin.time.Duration
+import kotlin.time.Instant
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import org.shallotplank.core.gateway.ListedUpstream
+import org.shallotplank.core.gateway.UpstreamRecord
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.LogRecord
+import org.shallotplank.core.log.logRecord
+import org.shallotplank.gateway.store.StoreRow
+import org.shallotplank.gateway.store.TableReplica
+
+/**
+ * The upstreams that the store lists, and those that may only have lapsed while it was away.
+ *
+ * An upstream whose row vanished is gone, unless the store failed just before; then it has
+ * [returnGrace] from the store's return to register again.
+ */
+internal class UpstreamBelief(
+    private val read: (StoreRow) -> Either<String, UpstreamRecord>,
+    private val returnGrace: Duration,
+    private val log: (LogRecord) -> Unit
+) {
+    private class ReadRow(val version: Long, val record: UpstreamRecord?)
+
+    private val readByKey = HashMap<String, ReadRow>()
+    private val missing = HashMap<String, ListedUpstream>()
+
+    /** Takes over the rows of [replica]; [isStoreSteady] tells whether it failed lately. */
+    fun update(replica: TableReplica, isStoreSteady: Boolean, now: Instant) {
+        for (row in replica.rows) {
+            if (readByKey[row.key]?.version == row.version) continue
+            readByKey[row.key] = ReadRow(row.version, readOrLog(row))
+        }
+        val gone = readByKey.keys.filter { replica.row(it) == null }
+        for (key in gone) {
+            val record = readByKey.remove(key)?.record ?: continue
+            if (!isStoreSteady) missing[key] = ListedUpstream(record, missingSince = now)
+        }
+        missing.keys.removeAll { it in readByKey }
+    }
+
+    /** Forgets those that had time enough to return; returns whether there were any. */
+    fun expire(now: Instant): Boolean = missing.values.removeAll { entry ->
+        entry.missingSince?.let { now - it >= returnGrace } ?: true
+    }
+
+    /** Everything that may be used, as far as the store says. */
+    fun listed(): PersistentList<ListedUpstream> {
+        val present = readByKey.values.mapNotNull { it.record }.map { ListedUpstream(it) }
+        return (present + missing.values).toPersistentList()
+    }
+
+    private fun readOrLog(row: StoreRow): UpstreamRecord? = read(row).fold(
+        ifLeft = { detail ->
+            val record = logRecord(
+                LogEvent.STORE_ROW_UNREADABLE,
+                "row" to row.key,
+                "version" to row.version,
+                "detail" to detail
+            )
+            log(record)
+            null
+        },
+        ifRight = { it }
+    )
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
@@ -0,0 +1,135 @@
+package org.shallotplank.gateway.http
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBufUtil
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
+import java.net.InetSocketAddress
+import kotlin.coroutines.resume
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.withTimeoutOrNull
+import org.shallotplank.core.Address
+
+/** Why an [HttpCall] got no answer; it may have been carried out all the same. */
+public enum class CallFailure { NOT_CONNECTED, CONNECTION_LOST, TIMED_OUT }
+
+/**
+ * Client for small calls to one peer, one at a time on a connection that is kept.
+ *
+ * A call that fails closes the connection, so that an answer that comes late is never taken for
+ * another call's. To be used on the event loop of [group] only.
+ */
+public class HttpClient(private val group: EventLoopGroup, private val address: Address) {
+    private var channel: Channel? = null
+    private var waiting: ((Either<CallFailure, HttpReply>) -> Unit)? = null
+
+    /** Makes [call]; the answer has to come within [timeout]. */
+    public suspend fun call(call: HttpCall, timeout: Duration): Either<CallFailure, HttpReply> {
+        val reply = withTimeoutOrNull(timeout) { exchange(call) }
+        if (reply == null || reply.isLeft()) close()
+        return reply ?: CallFailure.TIMED_OUT.left()
+    }
+
+    /** Closes the connection; the next call opens another. */
+    public fun close() {
+        waiting = null
+        channel?.close()
+        channel = null
+    }
+
+    private suspend fun exchange(call: HttpCall): Either<CallFailure, HttpReply> {
+        val open = channel?.takeIf { it.isActive } ?: connect()
+            ?: return CallFailure.NOT_CONNECTED.left()
+        channel = open
+        return suspendCancellableCoroutine { continuation ->
+            waiting = { continuation.resume(it) }
+            open.writeAndFlush(call.message(address.toString()))
+                .addListener(ChannelFutureListener { if (!it.isSuccess) open.close() })
+        }
+    }
+
+    private suspend fun connect(): Channel? = suspendCancellableCoroutine { continuation ->
+        val future = Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                CONNECT_TIMEOUT.inWholeMilliseconds.toInt()
+            )
+            .handler(initializer())
+            .connect(InetSocketAddress(address.host, address.port))
+        future.addListener(
+            ChannelFutureListener {
+                val channel = it.channel().takeIf { _ -> it.isSuccess }
+                if (continuation.isActive) continuation.resume(channel) else channel?.close()
+            }
+        )
+    }
+
+    private fun initializer() = object : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(created: SocketChannel) {
+            created.pipeline()
+                .addLast(HttpClientCodec())
+                .addLast(HttpObjectAggregator(MAX_REPLY_BYTES))
+                .addLast(ReplyHandler())
+        }
+    }
+
+    private inner class ReplyHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
+        override fun channelRead0(context: ChannelHandlerContext, message: FullHttpResponse) {
+            if (context.channel() !== channel) return
+            if (message.decoderResult().isFailure) {
+                context.close()
+                return
+            }
+            val body = ByteBufUtil.getBytes(message.content())
+            if (!HttpUtil.isKeepAlive(message)) {
+                channel = null
+                context.close()
+            }
+            finish(HttpReply(message.status().code(), body).right())
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            if (context.channel() !== channel) return
+            channel = null
+            finish(CallFailure.CONNECTION_LOST.left())
+        }
+
+        @Deprecated("Netty marks it so in its base class")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+
+        private fun finish(outcome: Either<CallFailure, HttpReply>) {
+            val resume = waiting ?: return
+            waiting = null
+            resume(outcome)
+        }
+    }
+
+    private companion object {
+        /** A table of the store comes in one answer of a megabyte of values in base64 at most. */
+        const val MAX_REPLY_BYTES = 4 * 1_048_576
+
+        /** A lost opening packet is sent again after a second by most systems. */
+        val CONNECT_TIMEOUT = 700.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpEndpoint.kt
@@ -0,0 +1,98 @@
+package org.shallotplank.gateway.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.QueryStringDecoder
+import io.netty.handler.timeout.ReadTimeoutHandler
+import java.net.InetSocketAddress
+import org.shallotplank.core.Address
+
+/** A request to one of the system's own interfaces. */
+public class EndpointRequest(
+    public val method: String,
+    public val path: String,
+    private val parameters: Map<String, List<String>>
+) {
+    /** The first value of the query parameter [name], or null. */
+    public fun parameter(name: String): String? = parameters[name]?.firstOrNull()
+}
+
+/** Serves one of the system's own interfaces at [address]; [answer] must not wait. */
+public class HttpEndpoint(
+    private val group: EventLoopGroup,
+    private val address: Address,
+    private val answer: (EndpointRequest) -> HttpReply
+) {
+    private var listening: Channel? = null
+
+    /** Starts to listen; throws [java.io.IOException] if the address cannot be had. */
+    public fun start() {
+        listening = ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(created: SocketChannel) {
+                        created.pipeline()
+                            .addLast(ReadTimeoutHandler(IDLE_SECONDS))
+                            .addLast(HttpServerCodec())
+                            .addLast(HttpObjectAggregator(MAX_REQUEST_BYTES))
+                            .addLast(RequestHandler())
+                    }
+                }
+            )
+            .bind(InetSocketAddress(address.host, address.port))
+            .sync()
+            .channel()
+    }
+
+    /** Stops to listen. */
+    public fun close() {
+        listening?.close()
+    }
+
+    private inner class RequestHandler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
+            val reply = if (message.decoderResult().isFailure) {
+                HttpReply(status = 400)
+            } else {
+                val target = QueryStringDecoder(message.uri())
+                answer(EndpointRequest(message.method().name(), target.path(), target.parameters()))
+            }
+            val response = reply.message()
+            val isKept = HttpUtil.isKeepAlive(message) && !message.decoderResult().isFailure
+            if (!isKept) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            }
+            val written = context.writeAndFlush(response)
+            if (!isKept) written.addListener(ChannelFutureListener.CLOSE)
+        }
+
+        @Deprecated("Netty marks it so in its base class")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+
+    private companion object {
+        const val MAX_REQUEST_BYTES = 65_536
+
+        /** Callers of these interfaces ask at least every few seconds. */
+        const val IDLE_SECONDS = 30
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/log/JsonLogWriter.kt
@@ -0,0 +1,142 @@
+package org.shallotplank.gateway.log
+
+import java.io.OutputStream
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.LogRecord
+import org.shallotplank.core.log.Severity
+import org.shallotplank.core.log.logRecord
+
+/**
+ * Writes records as JSON lines, bounded in volume and without ever waiting for the reader.
+ *
+ * Each event has a budget of lines a second, so that a flood of one cannot hide another. Lines
+ * beyond it, and lines that the reader is too slow for, are counted and told once a second. Not
+ * safe for use by several threads.
+ *
+ * @param instance name of the process, on every line.
+ * @param clock steady clock of the budgets.
+ * @param wallClock time of day on the lines.
+ */
+public class JsonLogWriter(
+    private val instance: String,
+    private val clock: Clock,
+    private val wallClock: Clock,
+    output: OutputStream,
+    private val linesPerSecond: Int = LINES_PER_SECOND
+) {
+    private val queue = ArrayBlockingQueue<String>(QUEUE_LINES)
+    private val unread = AtomicLong()
+    private var secondStart: Instant = clock.now()
+    private val writtenByEvent = IntArray(LogEvent.entries.size)
+    private val leftOutByEvent = IntArray(LogEvent.entries.size)
+
+    init {
+        thread(name = "log", isDaemon = true) { drain(output) }
+    }
+
+    /** Lines that were dropped since the last call, because the reader was too slow. */
+    public fun takeUnread(): Long = unread.getAndSet(0)
+
+    /** Queues a line of [record], unless the budget of its event is spent. */
+    public fun write(record: LogRecord) {
+        val now = clock.now()
+        if (now - secondStart >= BUDGET_SPAN) turnOver(now)
+        val event = record.event.ordinal
+        if (writtenByEvent[event] >= budgetOf(record.event)) {
+            leftOutByEvent[event]++
+            return
+        }
+        writtenByEvent[event]++
+        offer(record)
+    }
+
+    /** Waits until everything queued is written, for [millis] at most. */
+    public fun flush(millis: Long) {
+        val end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis)
+        while (queue.isNotEmpty() && System.nanoTime() < end) TimeUnit.MILLISECONDS.sleep(1)
+    }
+
+    private fun budgetOf(event: LogEvent): Int = when (event.severity) {
+        Severity.DEBUG, Severity.INFO -> linesPerSecond
+        Severity.WARN, Severity.ERROR -> linesPerSecond * WARNING_FACTOR
+    }
+
+    private fun turnOver(now: Instant) {
+        val leftOut = LogEvent.entries.filter { leftOutByEvent[it.ordinal] > 0 }
+        val unreadLines = takeUnread()
+        if (leftOut.isNotEmpty() || unreadLines > 0) {
+            val counts = leftOut.joinToString(",") {
+                "SP${it.number}:${leftOutByEvent[it.ordinal]}"
+            }
+            offer(logRecord(LogEvent.LINES_LEFT_OUT, "events" to counts, "unread" to unreadLines))
+        }
+        writtenByEvent.fill(0)
+        leftOutByEvent.fill(0)
+        secondStart = now
+    }
+
+    private fun offer(record: LogRecord) {
+        if (!queue.offer(record.json(instance, wallClock.now()))) unread.incrementAndGet()
+    }
+
+    private fun drain(output: OutputStream) {
+        val batch = ArrayList<String>(BATCH_LINES)
+        while (true) {
+            batch += queue.take()
+            queue.drainTo(batch, BATCH_LINES - 1)
+            val text = batch.joinToString(separator = "\n", postfix = "\n")
+            output.write(text.toByteArray())
+            output.flush()
+            batch.clear()
+        }
+    }
+
+    private companion object {
+        /** Lines of one event a second; some 60 events exist, so a second has a few MB at most. */
+        const val LINES_PER_SECOND = 60
+
+        /** Failures and refusals may have more lines than successes. */
+        const val WARNING_FACTOR = 2
+
+        /** About one megabyte of lines that wait for the reader. */
+        const val QUEUE_LINES = 4_096
+        const val BATCH_LINES = 64
+        val BUDGET_SPAN = 1.seconds
+    }
+}
+
+/** One line: time, instance, number, severity, what happened, and the fields by name. */
+internal fun LogRecord.json(instance: String, at: Instant): String = buildString(256) {
+    append("{\"time\":\"").append(at).append("\",\"instance\":")
+    appendQuoted(instance)
+    append(",\"event\":\"SP").append(event.number)
+    append("\",\"severity\":\"").append(event.severity)
+    append("\",\"message\":")
+    appendQuoted(event.summary)
+    for (field in fields) {
+        append(',')
+        appendQuoted(field.name)
+        append(':')
+        appendQuoted(field.value)
+    }
+    append('}')
+}
+
+private fun StringBuilder.appendQuoted(text: String) {
+    append('"')
+    for (char in text) {
+        when {
+            char == '"' || char == '\\' -> append('\\').append(char)
+            char < ' ' -> append("\\u%04x".format(char.code))
+            else -> append(char)
+        }
+    }
+    append('"')
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerReport.kt
@@ -0,0 +1,41 @@
+package org.shallotplank.gateway.peer
+
+import kotlinx.serialization.Serializable
+
+/**
+ * What an entry tells the others when they ask.
+ *
+ * @property incarnation differs from start to start of one instance.
+ * @property publicAddress where callers reach it.
+ * @property tableVersions how far its copies of the store's tables go.
+ * @property inFlight its attempts that have not ended, by upstream.
+ * @property crashes lost attempts of requests that crashed upstreams lately.
+ */
+@Serializable
+internal class PeerReport(
+    val instance: String,
+    val incarnation: Long,
+    val publicAddress: String,
+    val zone: String,
+    val isReady: Boolean,
+    val isStopping: Boolean,
+    val tableVersions: Map<String, Long>,
+    val inFlight: List<UpstreamInFlight>,
+    val crashes: List<KnownCrash>
+)
+
+/** Attempts that have not ended at one incarnation of an upstream. */
+@Serializable
+internal class UpstreamInFlight(val id: String, val incarnation: Long, val count: Int)
+
+/** A crash that [attempt] of a request was running in. */
+@Serializable
+internal data class KnownCrash(val customer: String, val bodySha256: String, val attempt: String)
+
+/** A copy of a table, as entries pass it on. */
+@Serializable
+internal class TableCopy(val version: Long, val rows: List<RowCopy>)
+
+/** One row of a [TableCopy]. */
+@Serializable
+internal class RowCopy(val key: String, val value: String, val version: Long)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/MetadataStore.kt
@@ -0,0 +1,63 @@
+package org.shallotplank.gateway.store
+
+import arrow.core.Either
+import kotlin.time.Duration
+
+/** A row of the store; [version] comes from a counter that every transaction advances. */
+public class StoreRow(public val key: String, public val value: String, public val version: Long)
+
+/** A table as of [version]. */
+public class TableContents(public val rows: List<StoreRow>, public val version: Long)
+
+/** What changed in a table up to [version]. */
+public class TableChanges(
+    public val changed: List<StoreRow>,
+    public val removedKeys: List<String>,
+    public val version: Long
+)
+
+/** Why the store gave no result. */
+public sealed interface StoreFailure {
+    /** No answer came; a write may have been done or may be done later. */
+    public data class NoAnswer(val cause: String) : StoreFailure
+
+    /** The store refused the call; nothing was done. */
+    public data class Refused(val status: Int) : StoreFailure
+
+    /** The changes asked for are not kept any more. */
+    public data object HistoryGone : StoreFailure
+
+    /** The answer cannot be read. */
+    public data class Unreadable(val detail: String) : StoreFailure
+
+    /** A row did not have the expected version. */
+    public data object Conflict : StoreFailure
+}
+
+/** The transactional store that the system's processes share. */
+public interface MetadataStore {
+    /** Reads a table whole. */
+    public suspend fun read(table: String): Either<StoreFailure, TableContents>
+
+    /** Waits up to [wait] for changes of a table after the version [since]. */
+    public suspend fun changes(
+        table: String,
+        since: Long,
+        wait: Duration
+    ): Either<StoreFailure, TableChanges>
+
+    /** Writes a row whose version has to be [expected], 0 if it must not exist. */
+    public suspend fun write(
+        table: String,
+        key: String,
+        value: String,
+        expected: Long
+    ): Either<StoreFailure, Unit>
+
+    /** Deletes a row whose version has to be [expected]. */
+    public suspend fun delete(
+        table: String,
+        key: String,
+        expected: Long
+    ): Either<StoreFailure, Unit>
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
@@ -0,0 +1,116 @@
+package org.shallotplank.gateway.store
+
+import arrow.core.Either
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlinx.coroutines.delay
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.LogRecord
+import org.shallotplank.core.log.logRecord
+
+/** How one table is followed. */
+public class FollowSettings(
+    public val table: String,
+    /** Longest wait of one call for changes. */
+    public val wait: Duration,
+    /** Shortest time between two calls, which bounds the calls for a table that changes often. */
+    public val pause: Duration = Duration.ZERO
+)
+
+/**
+ * Keeps a [TableReplica] up to date with the store.
+ *
+ * Reads the table whole at first and whenever the store has dropped the history in between. An
+ * answer counts as of the moment at which its call began.
+ */
+public class TableFollower(
+    private val settings: FollowSettings,
+    private val store: MetadataStore,
+    private val clock: Clock,
+    private val random: Random,
+    private val log: (LogRecord) -> Unit,
+    private val onContact: (TableReplica, isChanged: Boolean) -> Unit
+) {
+    public val replica: TableReplica = TableReplica()
+
+    /** Start of the last call that the store answered. */
+    public var answeredAt: Instant = Instant.DISTANT_PAST
+        private set
+
+    /** When a call last failed. */
+    public var failedAt: Instant = Instant.DISTANT_PAST
+        private set
+
+    private var failures = 0
+    private var mustReadWhole = true
+
+    /** Follows the table until it is cancelled. */
+    public suspend fun run() {
+        while (true) {
+            val startedAt = clock.now()
+            when (val outcome = step()) {
+                is Either.Left -> onFailure(outcome.value)
+                is Either.Right -> onAnswer(startedAt, outcome.value)
+            }
+        }
+    }
+
+    /** Takes over what another process knows of the table. */
+    public fun adopt(contents: TableContents) {
+        if (contents.version <= replica.version) return
+        onContact(replica, replica.replace(contents))
+    }
+
+    private suspend fun step(): Either<StoreFailure, Boolean> = if (mustReadWhole) {
+        store.read(settings.table).map {
+            mustReadWhole = false
+            replica.replace(it)
+        }
+    } else {
+        store.changes(settings.table, replica.version, settings.wait).map { replica.apply(it) }
+    }
+
+    private suspend fun onAnswer(startedAt: Instant, isChanged: Boolean) {
+        answeredAt = startedAt
+        if (failures > 0) {
+            log(logRecord(LogEvent.STORE_REGAINED, "table" to settings.table, "after" to failures))
+            failures = 0
+        }
+        onContact(replica, isChanged)
+        val elapsed = clock.now() - startedAt
+        if (elapsed < settings.pause) delay(settings.pause - elapsed)
+    }
+
+    private suspend fun onFailure(failure: StoreFailure) {
+        if (failure == StoreFailure.HistoryGone) {
+            mustReadWhole = true
+            return
+        }
+        if (failures == 0) {
+            val record = logRecord(
+                LogEvent.STORE_LOST,
+                "table" to settings.table,
+                "failure" to failure,
+                "version" to replica.version
+            )
+            log(record)
+        }
+        failures++
+        failedAt = clock.now()
+        val base = FIRST_BACKOFF * (1 shl failures.coerceAtMost(MAX_DOUBLINGS))
+        delay(base.coerceAtMost(MAX_BACKOFF) * (1.0 - BACKOFF_JITTER * random.nextDouble()))
+    }
+
+    private companion object {
+        val FIRST_BACKOFF = 50.milliseconds
+
+        /** Short against the two seconds in which a change has to be in force. */
+        val MAX_BACKOFF = 0.6.seconds
+        const val MAX_DOUBLINGS = 4
+        const val BACKOFF_JITTER = 0.5
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/ForwardedRequest.kt
@@ -0,0 +1,46 @@
+package org.shallotplank.gateway.upstream
+
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpVersion
+import org.shallotplank.core.gateway.GatewayEffect
+import org.shallotplank.gateway.Exchange
+import org.shallotplank.gateway.HeaderNames
+
+/**
+ * The request of [exchange] as the upstream of [send] gets it.
+ *
+ * Method, target, body and end-to-end headers are the caller's; framing is made anew. A stream that
+ * has begun is asked for from its last event on.
+ */
+internal fun forwardedRequest(
+    exchange: Exchange,
+    send: GatewayEffect.Send,
+    names: HeaderNames
+): FullHttpRequest {
+    val message = exchange.message
+    val body = message.body
+    val content = if (body.isReadable) body.retainedDuplicate() else Unpooled.EMPTY_BUFFER
+    val request =
+        DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method, message.uri, content)
+    val headers = request.headers()
+    copyEndToEnd(message.headers, headers)
+    val hadBody = message.headers.contains(HttpHeaderNames.CONTENT_LENGTH) ||
+        message.headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+    headers
+        .remove(HttpHeaderNames.CONTENT_LENGTH)
+        .remove(names.credential)
+        .remove(names.customer)
+        .set(names.expectedUpstream, send.upstream.id.value)
+        .set(names.timeLeftMillis, send.timeLeft.inWholeMilliseconds.coerceAtLeast(1))
+        .set(names.requestPriority, send.priority.coerceIn(REQUEST_PRIORITIES))
+    if (hadBody) headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+    send.customer?.let { headers.set(names.customer, it.value) }
+    exchange.lastEventId?.let { headers.set(names.lastEventId, it) }
+    return request
+}
+
+/** Ranks that engines know, 0 being the most urgent. */
+private val REQUEST_PRIORITIES = 0..9
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -0,0 +1,292 @@
+package org.shallotplank.gateway.upstream
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Instant
+import org.shallotplank.core.gateway.AttemptFailure
+import org.shallotplank.core.gateway.EngineLoad
+import org.shallotplank.core.gateway.GatewayEvent
+import org.shallotplank.gateway.Exchange
+import org.shallotplank.gateway.HeaderNames
+
+/** What an [UpstreamAttempt] needs from around it. */
+internal class AttemptContext(
+    val headers: HeaderNames,
+    val clock: Clock,
+    val pool: UpstreamPool,
+    val emit: (GatewayEvent) -> Unit
+)
+
+/**
+ * One attempt at a request: reads the answer of an upstream and passes it on.
+ *
+ * Streams go to the caller event by event; other answers are held until they are whole, so that
+ * they can be replaced, unless they are long.
+ */
+internal class UpstreamAttempt(
+    private val exchange: Exchange,
+    private val number: Int,
+    private val target: UpstreamTarget,
+    private val isStream: Boolean,
+    private val context: AttemptContext
+) : UpstreamReader {
+    private var connection: UpstreamConnection? = null
+    private var head: HttpResponse? = null
+    private var isSkipping = false
+    private var isConnectionSpoilt = false
+    private var mode = AnswerMode.HELD
+    private var heldBytes = Unpooled.compositeBuffer(MAX_HELD_PARTS)
+    private val events = EventSplitter()
+    private var isOver = false
+    private var lastProgressAt: Instant = context.clock.now()
+
+    /** Time since anything came from the upstream. */
+    fun silence(now: Instant): Duration = now - lastProgressAt
+
+    val isRunning: Boolean get() = !isOver
+
+    val attemptNumber: Int get() = number
+
+    /** Sends [request] on [connection]. */
+    fun start(connection: UpstreamConnection, request: FullHttpRequest) {
+        if (isOver) {
+            request.release()
+            context.pool.release(target, connection)
+            return
+        }
+        this.connection = connection
+        lastProgressAt = context.clock.now()
+        connection.send(request, this)
+    }
+
+    /** Stops the attempt; its upstream sees the connection close. */
+    fun cancel() {
+        if (isOver) return
+        end()
+        connection?.close()
+    }
+
+    /** Reads further, or not, so that no more is held than the caller takes. */
+    fun setReading(isReading: Boolean) {
+        if (!isOver) connection?.setReading(isReading)
+    }
+
+    override fun onPart(part: HttpObject) {
+        try {
+            if (!isOver) take(part)
+        } finally {
+            ReferenceCountUtil.release(part)
+        }
+    }
+
+    private fun take(part: HttpObject) {
+        if (part.decoderResult().isFailure) {
+            fail(AttemptFailure.GARBLED)
+            return
+        }
+        if (part is HttpResponse) onHead(part)
+        if (part is HttpContent && !isOver) onContent(part)
+    }
+
+    private fun onHead(response: HttpResponse) {
+        val isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        if (isInterim || isAnotherRequests(response)) {
+            isSkipping = true
+            isConnectionSpoilt = isConnectionSpoilt || !isInterim
+            return
+        }
+        lastProgressAt = context.clock.now()
+        connection?.noteKeepAlive(response)
+        head = response
+        mode =
+            if (isStream && response.status().code() == OK) AnswerMode.EVENTS else AnswerMode.HELD
+        if (response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
+            fail(AttemptFailure.GARBLED)
+            return
+        }
+        if (!isNotRun(response)) {
+            context.emit(
+                GatewayEvent.HeadReceived(
+                    exchange.id,
+                    number,
+                    response.status().code(),
+                    loadOf(response)
+                )
+            )
+        }
+    }
+
+    /** Whether [response] answers an earlier request, whose answer was late or came twice. */
+    private fun isAnotherRequests(response: HttpResponse): Boolean {
+        val sent = exchange.message.headers[context.headers.attemptId]
+        val echoed = response.headers()[context.headers.attemptId]
+        if (echoed == null) return connection?.isFirstRequest == false && !isNotRun(response)
+        return sent != null && echoed != sent
+    }
+
+    private fun isNotRun(response: HttpResponse): Boolean =
+        response.status().code() == MISDIRECTED ||
+            (response.headers().contains(context.headers.notRun) && response.status().code() >= 400)
+
+    private fun loadOf(response: HttpResponse): EngineLoad? {
+        val numbers = response.headers()[context.headers.engineLoad]
+            ?.split(',')
+            ?.mapNotNull { it.trim().toIntOrNull() }
+        if (numbers?.size != LOAD_NUMBERS) return null
+        return EngineLoad(running = numbers[0], waiting = numbers[1], slots = numbers[2])
+    }
+
+    private fun onContent(part: HttpContent) {
+        val isLast = part is LastHttpContent
+        if (isSkipping) {
+            if (isLast) isSkipping = false
+            return
+        }
+        val response = head ?: return
+        lastProgressAt = context.clock.now()
+        when (mode) {
+            AnswerMode.EVENTS -> onEvents(response, part.content())
+            AnswerMode.HELD -> hold(response, part.content())
+            AnswerMode.PASSED -> exchange.connection.write(part.content().retain())
+        }
+        if (isLast && !isOver) onWhole(response)
+    }
+
+    private fun onEvents(response: HttpResponse, content: ByteBuf) {
+        val whole = events.take(content)
+        if (events.restBytes > MAX_EVENT_BYTES) {
+            fail(AttemptFailure.GARBLED)
+            return
+        }
+        if (whole == null) return
+        begin(response)
+        events.lastEventId?.let { exchange.lastEventId = it }
+        exchange.connection.write(whole)
+    }
+
+    private fun hold(response: HttpResponse, content: ByteBuf) {
+        if (heldBytes.readableBytes() + content.readableBytes() <= MAX_HELD_BYTES) {
+            heldBytes.addComponent(true, content.retain())
+            return
+        }
+        mode = AnswerMode.PASSED
+        begin(response)
+        exchange.connection.write(heldBytes.retain())
+        exchange.connection.write(content.retain())
+    }
+
+    /** Sends the head to the caller, unless an earlier attempt's head went there. */
+    private fun begin(response: HttpResponse) {
+        if (exchange.isAnswerBegun) return
+        val begun = DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status())
+        copyEndToEnd(response.headers(), begun.headers())
+        begun.headers()
+            .remove(HttpHeaderNames.CONTENT_LENGTH)
+            .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        exchange.isAnswerBegun = true
+        exchange.connection.begin(begun)
+        context.emit(GatewayEvent.AnswerBegun(exchange.id, number))
+    }
+
+    private fun onWhole(response: HttpResponse) {
+        val status = response.status().code()
+        when {
+            isNotRun(response) -> {
+                endAndKeep(response)
+                val isMisdirected = status == MISDIRECTED
+                context.emit(GatewayEvent.NotRun(exchange.id, number, status, isMisdirected))
+            }
+            mode == AnswerMode.HELD -> {
+                exchange.held = heldAnswer(response)
+                endAndKeep(response)
+                context.emit(GatewayEvent.AnswerHeld(exchange.id, number, status))
+            }
+            events.restBytes > 0 && !isFramed(response) -> fail(AttemptFailure.CONNECTION_LOST)
+            else -> {
+                begin(response)
+                if (events.restBytes > 0) exchange.connection.write(events.takeRest())
+                exchange.connection.end()
+                endAndKeep(response)
+                context.emit(GatewayEvent.AnswerEnded(exchange.id, number, status))
+            }
+        }
+    }
+
+    private fun heldAnswer(response: HttpResponse): DefaultFullHttpResponse {
+        val status = HttpResponseStatus.valueOf(response.status().code())
+        val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, heldBytes.retain())
+        copyEndToEnd(response.headers(), answer.headers())
+        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, heldBytes.readableBytes())
+        return answer
+    }
+
+    private fun endAndKeep(response: HttpResponse) {
+        val open = connection
+        end()
+        if (open == null) return
+        if (isFramed(response) && !isConnectionSpoilt) {
+            context.pool.release(target, open)
+        } else {
+            open.close()
+        }
+    }
+
+    /** Whether the answer says where it ends, rather than to end with its connection. */
+    private fun isFramed(response: HttpResponse): Boolean =
+        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+
+    override fun onConnectionLost(wasReset: Boolean) {
+        if (!isOver) fail(AttemptFailure.CONNECTION_LOST)
+    }
+
+    private fun fail(cause: AttemptFailure) {
+        end()
+        connection?.close()
+        context.emit(GatewayEvent.AttemptLost(exchange.id, number, cause))
+    }
+
+    private fun end() {
+        isOver = true
+        heldBytes.release()
+    }
+
+    private enum class AnswerMode {
+        /** Kept until it is whole. */
+        HELD,
+
+        /** Passed on as its events become whole. */
+        EVENTS,
+
+        /** Passed on as it comes, since it is long. */
+        PASSED
+    }
+
+    private companion object {
+        const val OK = 200
+        const val MISDIRECTED = 421
+        const val LOAD_NUMBERS = 3
+
+        /** Longest answer that is held back; longer ones are passed on as they come. */
+        const val MAX_HELD_BYTES = 262_144
+        const val MAX_HELD_PARTS = 64
+
+        /** Longest event; more without an empty line is no event stream. */
+        const val MAX_EVENT_BYTES = 1_048_576
+    }
+}
