Change expert maps by a keeper among the entries

Cause: the most loaded rank had 3.57 times the mean and passes took 102 ms.

Change: core/expertmap is a reducer that prepares a map on all ranks, holds a pass, arms all ranks, and releases the pass; leases with fencing numbers are rows of the store. The planner of core/placement finds the map.

--- a/cli/src/main/kotlin/org/shallotplank/cli/GatewayCommand.kt
+++ b/cli/src/main/kotlin/org/shallotplank/cli/GatewayCommand.kt
@@ -9,6 +9,7 @@
 import org.shallotplank.config.readGatewayEntrySettings
 import org.shallotplank.platform.SETTINGS_VARIABLE
 import org.shallotplank.platform.runPlatformEntry
+import org.shallotplank.runtime.log.configureLogging
 
 /** Runs a gateway entry, which forwards requests straight to upstreams. */
 internal class GatewayCommand : CliktCommand(name = "gateway") {
@@ -24,10 +25,16 @@
 
     override fun run() {
         val accepted = acceptedOrFail(readGatewayEntrySettings(settings), ExitStatus.USAGE)
+        configureLogging(LIBRARY_LEVEL)
         try {
             runPlatformEntry(accepted, settings)
         } catch (e: IOException) {
             fail(ExitStatus.USAGE, "cannot start: ${e.message}")
         }
     }
+
+    private companion object {
+        /** Libraries log only what is wrong; the process has a writer of its own. */
+        const val LIBRARY_LEVEL = "error"
+    }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -0,0 +1,413 @@
+package org.shallotplank.core.expertmap
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import org.shallotplank.core.Step
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.logRecord
+import org.shallotplank.core.then
+
+/** Reduces one event of a group's keeper. */
+public fun GroupKeeper.on(event: GroupKeeperEvent, now: Instant): GroupKeeperStep = when (event) {
+    is GroupKeeperEvent.Reported -> onReported(event, now)
+    is GroupKeeperEvent.Counted -> Step(onCounted(event, now))
+    is GroupKeeperEvent.Listed -> onListed(event)
+    is GroupKeeperEvent.Answered -> onAnswered(event, now)
+    GroupKeeperEvent.Tick -> onTick(now)
+}
+
+private fun GroupKeeper.onReported(event: GroupKeeperEvent.Reported, now: Instant): GroupKeeperStep {
+    val report = event.report
+    if (report.epoch < epoch) return Step(this)
+    if (report.epoch > epoch || !report.isOpen) return startAnew(report.epoch, now)
+    val kept = copy(
+        reports = reports.put(event.rank, ReceivedReport(report, now)),
+        passes = passes.after(report.step, now)
+    )
+    return when (val present = stage) {
+        is KeeperStage.Surveying -> kept.concludeSurvey(present, now)
+        is KeeperStage.Settled -> kept.checkUndisturbed(report, now)
+        is KeeperStage.Preparing -> kept.holdIfPrepared(present, now)
+        is KeeperStage.Switching -> kept.concludeSwitch(present, now)
+        else -> Step(kept)
+    }
+}
+
+/** The group has formed again, or is about to: whatever was under way is gone. */
+private fun GroupKeeper.startAnew(newEpoch: Long, now: Instant): GroupKeeperStep {
+    if (stage is KeeperStage.Surveying && newEpoch == epoch) return Step(this)
+    val record = logRecord(
+        LogEvent.GROUP_FORMED_ANEW,
+        "group" to group,
+        "epoch" to newEpoch,
+        "before" to epoch,
+        "stage" to stageName()
+    )
+    val anew = copy(
+        epoch = newEpoch,
+        stage = KeeperStage.Surveying(now),
+        reports = persistentMapOf(),
+        counts = persistentMapOf(),
+        map = null
+    )
+    return Step(anew, effects(GroupKeeperEffect.Log(record)))
+}
+
+/** Decides what is to be done once all ranks have reported late enough to show every order. */
+private fun GroupKeeper.concludeSurvey(
+    survey: KeeperStage.Surveying,
+    now: Instant
+): GroupKeeperStep {
+    val recent = allRanks.map { rank ->
+        reports[rank]?.takeIf { it.at >= survey.since + REPORT_LAG }?.report
+            ?: return Step(this)
+    }
+    val held = recent.withIndex().filter { it.value.heldStep != null }
+    val armed = recent.withIndex().filter { it.value.armed != null }
+    return when {
+        held.isNotEmpty() && isUndone && armed.isEmpty() -> {
+            val steps = held.associate { it.index to (it.value.heldStep ?: 0) }
+            enter(KeeperStage.LettingGo(steps.toPersistentMap()), now)
+        }
+        held.isNotEmpty() -> undo(recent, held.map { it.index }, now)
+        // Armed with nothing held: every rank is armed, and the switch is under way.
+        armed.isNotEmpty() -> enter(KeeperStage.Surveying(now), now)
+        recent.map { it.mapVersion }.distinct().size > 1 ->
+            enter(KeeperStage.Surveying(now), now)
+        recent.first().mapVersion == 0L -> {
+            val initial = GroupMap.initial(placement.layers, ranks, placement.expertsPerLayer)
+            copy(map = initial).enter(KeeperStage.Settled, now)
+        }
+        else -> enter(KeeperStage.ReadingMap(askedAt = now), now)
+    }
+}
+
+/** Has all ranks refuse what earlier orders may still do to them, the held ranks first. */
+private fun GroupKeeper.undo(
+    reports: List<RankReport>,
+    heldRanks: List<Int>,
+    now: Instant
+): GroupKeeperStep {
+    val unused = nextVersion()
+    val versions = reports.withIndex().associate { (rank, report) ->
+        rank to (report.armed?.version ?: unused)
+    }
+    val undoing = KeeperStage.Undoing(versions.toPersistentMap(), heldRanks.toPersistentSet())
+    return copy(fence = fence + 1, lastVersion = unused).enter(undoing, now)
+}
+
+/** While nothing is under way, nothing may be held. */
+private fun GroupKeeper.checkUndisturbed(report: RankReport, now: Instant): GroupKeeperStep {
+    val isExpected = report.heldStep == null && report.armed == null
+    return if (isExpected) Step(this) else enter(KeeperStage.Surveying(now), now)
+}
+
+private fun GroupKeeper.holdIfPrepared(
+    preparing: KeeperStage.Preparing,
+    now: Instant
+): GroupKeeperStep {
+    val isPrepared = preparing.accepted.size == ranks &&
+        allRanks.all { reports[it]?.report?.preparedVersion == preparing.version }
+    if (!isPrepared) return Step(this)
+    val holding = KeeperStage.Holding(preparing.version, preparing.map, stepAhead(now))
+    return copy(isUndone = false).enter(holding, now)
+}
+
+/** A pass that has surely not begun and is not far off. */
+private fun GroupKeeper.stepAhead(now: Instant): Long {
+    val latest = reports.values.maxBy { it.report.step }
+    val age = now - latest.at + USUAL_LAG
+    return latest.report.step + (age / passes.passTime).toLong() + STEPS_AHEAD
+}
+
+private fun GroupKeeper.concludeSwitch(
+    switching: KeeperStage.Switching,
+    now: Instant
+): GroupKeeperStep {
+    val isSwitched = reports[HOLDING_RANK]?.report?.mapVersion == switching.version
+    if (!isSwitched) return Step(this)
+    val record = logRecord(
+        LogEvent.GROUP_MAP_IN_FORCE,
+        "group" to group,
+        "epoch" to epoch,
+        "version" to switching.version,
+        "step" to switching.step,
+        "took_ms" to (now - switching.since).inWholeMilliseconds
+    )
+    val switched = copy(map = switching.map, stage = KeeperStage.Settled)
+    return Step(switched, effects(GroupKeeperEffect.Log(record)))
+}
+
+private fun GroupKeeper.onCounted(event: GroupKeeperEvent.Counted, now: Instant): GroupKeeper {
+    val size = placement.layers * placement.expertsPerLayer
+    if (event.epoch != epoch || event.counts.size != size) return this
+    val before = counts[event.rank]
+    val known = copy(counts = counts.put(event.rank, event.counts))
+    if (before == null) return known
+    val chosen = IntArray(size) { (event.counts[it] - before[it]).coerceIn(0, MAX_COUNT).toInt() }
+    val byLayer = List(placement.layers) { layer ->
+        val from = layer * placement.expertsPerLayer
+        chosen.copyOfRange(from, from + placement.expertsPerLayer)
+    }
+    return known.copy(popularity = popularity.plus(byLayer, now, settings.popularityHalfLife))
+}
+
+private fun GroupKeeper.onListed(event: GroupKeeperEvent.Listed): GroupKeeperStep {
+    val reading = stage as? KeeperStage.ReadingMap ?: return Step(this)
+    if (event.epoch != epoch) return Step(this)
+    val known = reading.known.put(event.rank, event.experts)
+    if (known.size < ranks) return Step(copy(stage = reading.copy(known = known)))
+    val layers = List(placement.layers) { layer ->
+        allRanks.map { rank -> known.getValue(rank)[layer] }.toPersistentList()
+    }
+    val read = GroupMap(layers.toPersistentList())
+    val isWhole = read.isWhole(placement.layers, ranks, placement.expertsPerLayer)
+    val next = if (isWhole) KeeperStage.Settled else KeeperStage.Surveying(reading.askedAt)
+    return Step(copy(map = read.takeIf { isWhole }, stage = next))
+}
+
+private fun GroupKeeper.onAnswered(
+    event: GroupKeeperEvent.Answered,
+    now: Instant
+): GroupKeeperStep {
+    if (event.epoch != epoch || event.fence != fence) return Step(this)
+    val record = logRecord(
+        LogEvent.GROUP_ORDER_ANSWERED,
+        "group" to group,
+        "epoch" to epoch,
+        "fence" to fence,
+        "rank" to event.rank,
+        "order" to event.order.summary(),
+        "outcome" to event.outcome,
+        "stage" to stageName()
+    )
+    val logged = Step(this, effects(GroupKeeperEffect.Log(record)))
+    return when (event.outcome) {
+        OrderOutcome.DONE -> logged.then { it.onDone(event.rank, event.order, now) }
+        OrderOutcome.CONFLICT -> logged.then { it.onConflict(event, now) }
+        OrderOutcome.FENCED -> logged.map { it.copy(isFenced = true) }
+        // Repeated at the next tick, while it is still wanted.
+        OrderOutcome.NO_ANSWER -> logged
+    }
+}
+
+private fun GroupKeeper.onDone(rank: Int, order: RankOrder, now: Instant): GroupKeeperStep {
+    val present = stage
+    return when {
+        present is KeeperStage.Preparing && order.isPrepareOf(present.version) -> {
+            val accepted = present.copy(accepted = present.accepted.add(rank))
+            copy(stage = accepted).holdIfPrepared(accepted, now)
+        }
+        present is KeeperStage.Holding && order == RankOrder.Hold(present.step) ->
+            enter(KeeperStage.Arming(present.version, present.map, present.step), now)
+        present is KeeperStage.Arming &&
+            order == RankOrder.Arm(present.version, present.step) -> {
+            val armed = present.copy(armed = present.armed.add(rank))
+            if (armed.armed.size < ranks) return Step(copy(stage = armed))
+            enter(KeeperStage.Releasing(present.version, present.map, present.step), now)
+        }
+        present is KeeperStage.Releasing && order == RankOrder.Release(present.step) ->
+            enter(
+                KeeperStage.Switching(present.version, present.map, present.step, now),
+                now
+            )
+        present is KeeperStage.Undoing && order is RankOrder.Disarm -> onDisarmed(present, rank, now)
+        present is KeeperStage.LettingGo && order is RankOrder.Release -> {
+            val left = present.stepByRank.remove(rank)
+            if (left.isEmpty()) {
+                enter(KeeperStage.Surveying(now), now)
+            } else {
+                Step(copy(stage = KeeperStage.LettingGo(left)))
+            }
+        }
+        else -> Step(this)
+    }
+}
+
+private fun RankOrder.isPrepareOf(version: Long): Boolean =
+    this is RankOrder.Prepare && this.version == version
+
+/** The held ranks come first: after that, no late release of an earlier keeper counts. */
+private fun GroupKeeper.onDisarmed(
+    undoing: KeeperStage.Undoing,
+    rank: Int,
+    now: Instant
+): GroupKeeperStep {
+    val next = undoing.copy(disarmed = undoing.disarmed.add(rank))
+    if (next.disarmed.size == ranks) {
+        return copy(isUndone = true).enter(KeeperStage.Surveying(now), now)
+    }
+    val wereHeldOpen = !undoing.disarmed.containsAll(undoing.heldRanks)
+    val isFirstPartOver = wereHeldOpen && next.disarmed.containsAll(undoing.heldRanks)
+    return if (isFirstPartOver) enter(next, now) else Step(copy(stage = next))
+}
+
+private fun GroupKeeper.onConflict(
+    event: GroupKeeperEvent.Answered,
+    now: Instant
+): GroupKeeperStep {
+    val present = stage
+    return when {
+        present is KeeperStage.Holding && event.order == RankOrder.Hold(present.step) ->
+            if (present.triesMade < MAX_HOLD_TRIES) {
+                val later = present.step + STEPS_AHEAD + present.triesMade
+                enter(present.copy(step = later, triesMade = present.triesMade + 1), now)
+            } else {
+                enter(KeeperStage.Surveying(now), now)
+            }
+        present is KeeperStage.Preparing && event.order.isPrepareOf(present.version) ->
+            enter(KeeperStage.Surveying(now), now)
+        present is KeeperStage.Arming &&
+            event.order == RankOrder.Arm(present.version, present.step) ->
+            enter(KeeperStage.Surveying(now), now)
+        present is KeeperStage.Undoing && event.order is RankOrder.Disarm ->
+            enter(KeeperStage.Surveying(now), now)
+        else -> Step(this)
+    }
+}
+
+/** Enters [next] and gives the orders or asks the questions that it begins with. */
+internal fun GroupKeeper.enter(next: KeeperStage, now: Instant): GroupKeeperStep {
+    val record = logRecord(
+        LogEvent.GROUP_STAGE,
+        "group" to group,
+        "epoch" to epoch,
+        "fence" to fence,
+        "stage" to next::class.simpleName,
+        "detail" to next.detail()
+    )
+    val entered = copy(stage = next)
+    val log: GroupKeeperEffect = GroupKeeperEffect.Log(record)
+    return Step(
+        entered.copy(reportsAskedAt = now),
+        (listOf(log) + entered.wanted()).toPersistentList()
+    )
+}
+
+private fun KeeperStage.detail(): String? = when (this) {
+    is KeeperStage.Preparing -> "version $version"
+    is KeeperStage.Holding -> "version $version step $step"
+    is KeeperStage.Arming -> "version $version step $step"
+    is KeeperStage.Releasing -> "version $version step $step"
+    is KeeperStage.Switching -> "version $version step $step"
+    is KeeperStage.Undoing -> "held ranks ${heldRanks.joinToString(",")}"
+    is KeeperStage.LettingGo -> "held ranks ${stepByRank.keys.joinToString(",")}"
+    else -> null
+}
+
+private fun RankOrder.summary(): String = when (this) {
+    is RankOrder.Prepare -> "prepare $version"
+    is RankOrder.Arm -> "arm $version at $step"
+    is RankOrder.Disarm -> "disarm $version"
+    is RankOrder.Hold -> "hold $step"
+    is RankOrder.Release -> "release $step"
+}
+
+private fun GroupKeeper.stageName(): String = stage::class.simpleName.orEmpty()
+
+/** What the present stage still waits for. */
+internal fun GroupKeeper.wanted(): List<GroupKeeperEffect> = when (val present = stage) {
+    is KeeperStage.Surveying -> allRanks.map { GroupKeeperEffect.ReadReport(it) }
+    is KeeperStage.ReadingMap ->
+        allRanks.filter { it !in present.known }.map { GroupKeeperEffect.ReadMap(it) }
+    is KeeperStage.Settled -> emptyList()
+    is KeeperStage.Preparing -> {
+        val order = RankOrder.Prepare(present.version, present.map)
+        val unaccepted = allRanks.filter { it !in present.accepted }.map { give(it, order) }
+        unaccepted.ifEmpty { reportsWithout { it.preparedVersion == present.version } }
+    }
+    is KeeperStage.Holding -> listOf(give(HOLDING_RANK, RankOrder.Hold(present.step)))
+    is KeeperStage.Arming -> {
+        val order = RankOrder.Arm(present.version, present.step)
+        allRanks.filter { it !in present.armed }.map { give(it, order) }
+    }
+    is KeeperStage.Releasing -> listOf(give(HOLDING_RANK, RankOrder.Release(present.step)))
+    // All ranks are armed, so that one of them tells for all.
+    is KeeperStage.Switching -> listOf(GroupKeeperEffect.ReadReport(HOLDING_RANK))
+    is KeeperStage.Undoing -> {
+        val held = present.heldRanks - present.disarmed
+        val next = held.ifEmpty { allRanks.toSet() - present.disarmed }
+        next.map { give(it, RankOrder.Disarm(present.versionByRank.getValue(it))) }
+    }
+    is KeeperStage.LettingGo ->
+        present.stepByRank.map { (rank, step) -> give(rank, RankOrder.Release(step)) }
+}
+
+private fun GroupKeeper.reportsWithout(isDone: (RankReport) -> Boolean): List<GroupKeeperEffect> =
+    allRanks.filter { rank -> reports[rank]?.report?.let(isDone) != true }
+        .map { GroupKeeperEffect.ReadReport(it) }
+
+private fun GroupKeeper.give(rank: Int, order: RankOrder): GroupKeeperEffect =
+    GroupKeeperEffect.Give(rank, order, epoch, fence)
+
+private fun GroupKeeper.onTick(now: Instant): GroupKeeperStep {
+    if (isFenced) return Step(this)
+    val present = stage
+    if (present is KeeperStage.Settled) return onSettledTick(now)
+    val isStuck = present is KeeperStage.Preparing && now - present.since > PREPARE_TIMEOUT
+    if (isStuck) return enter(KeeperStage.Surveying(now), now)
+    val interval = if (present.givesOrders()) ORDER_INTERVAL else SURVEY_INTERVAL
+    if (now - reportsAskedAt < interval) return Step(this)
+    return Step(copy(reportsAskedAt = now), wanted().toPersistentList())
+}
+
+private fun KeeperStage.givesOrders(): Boolean = when (this) {
+    is KeeperStage.Holding, is KeeperStage.Arming, is KeeperStage.Releasing,
+    is KeeperStage.Undoing, is KeeperStage.LettingGo -> true
+    else -> false
+}
+
+private fun GroupKeeper.onSettledTick(now: Instant): GroupKeeperStep {
+    val asked = mutableListOf<GroupKeeperEffect>()
+    var next = this
+    if (now - reportsAskedAt >= POLL_INTERVAL) {
+        asked += GroupKeeperEffect.ReadReport(nextPolledRank)
+        next = next.copy(reportsAskedAt = now, nextPolledRank = (nextPolledRank + 1) % ranks)
+    }
+    if (now - countsAskedAt >= settings.countInterval) {
+        asked += sampledRanks().map { GroupKeeperEffect.ReadCounts(it) }
+        next = next.copy(countsAskedAt = now)
+    }
+    val step = Step(next, asked.toPersistentList())
+    return if (now - plannedAt >= settings.countInterval) step.then { it.plan(now) } else step
+}
+
+/** Ranks whose counts are read, spread evenly. */
+private fun GroupKeeper.sampledRanks(): List<Int> {
+    val wanted = settings.sampledRanks.coerceIn(1, ranks)
+    return List(wanted) { it * ranks / wanted }.distinct()
+}
+
+/** Rank at which the group is held; any would do, as all ranks begin each pass together. */
+private const val HOLDING_RANK = 0
+private const val MAX_COUNT = 1_000_000_000L
+
+/** A report may be this old when it comes. */
+internal val REPORT_LAG: Duration = 600.milliseconds
+
+/** A report is usually about this old. */
+private val USUAL_LAG = 300.milliseconds
+
+/** Passes between the last one that may have begun and the one that is held. */
+private const val STEPS_AHEAD = 2L
+
+/** Passes that are tried when the one to hold had begun already. */
+private const val MAX_HOLD_TRIES = 6
+
+/** An order without an answer is given again after this time. */
+private val ORDER_INTERVAL = 250.milliseconds
+private val SURVEY_INTERVAL = 250.milliseconds
+
+/** How often a settled group is looked at, one rank after the other. */
+private val POLL_INTERVAL = 250.milliseconds
+
+/** Copies that take longer than this have failed. */
+private val PREPARE_TIMEOUT = 20.seconds
+
--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
@@ -0,0 +1,51 @@
+package org.shallotplank.core.expertmap
+
+import kotlin.time.Instant
+import org.shallotplank.core.Step
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.logRecord
+import org.shallotplank.core.placement.MapPlan
+import org.shallotplank.core.placement.MapPlanner
+import org.shallotplank.core.placement.PlacementSettings
+import org.shallotplank.core.placement.RankSpeeds
+import org.shallotplank.core.then
+
+/** Looks for a better map and begins the change to it, if there is one. */
+internal fun GroupKeeper.plan(now: Instant): GroupKeeperStep {
+    val present = map ?: return Step(this)
+    val looked = copy(plannedAt = now)
+    if (!popularity.isKnown) return Step(looked)
+    val plan = planFor(present) ?: return Step(looked)
+    val version = nextVersion()
+    val next = GroupMap.of(plan.map, placement.expertsPerLayer)
+    val record = logRecord(
+        LogEvent.GROUP_MAP_PLANNED,
+        "group" to group,
+        "epoch" to epoch,
+        "version" to version,
+        "experts_loaded" to plan.expertsLoaded,
+        "slowness_before" to "%.3f".format(plan.slownessBefore),
+        "slowness_after" to "%.3f".format(plan.slownessAfter)
+    )
+    return Step(looked.copy(lastVersion = version), effects(GroupKeeperEffect.Log(record)))
+        .then { it.enter(KeeperStage.Preparing(version, next, now), now) }
+}
+
+private fun GroupKeeper.planFor(present: GroupMap): MapPlan? {
+    val slots = placement.slotsPerRank
+    val placeholders = present.layers.maxOf { layer -> layer.maxOf { slots - it.size } }
+    val settings = PlacementSettings(
+        expertBytes = 1,
+        weightStoreBytesPerSecond = Long.MAX_VALUE / MANY,
+        maxLoadsPerRank = settings.maxLoadsPerRank,
+        minGain = settings.minGain
+    )
+    return MapPlanner(settings).plan(
+        map = present.padded(slots, placement.expertsPerLayer),
+        popularity = popularity.withUnusedExperts(placeholders),
+        speeds = RankSpeeds.equal(ranks)
+    )
+}
+
+/** Keeps the planner's bound on copies above what [PlacementSettings.maxLoadsPerRank] allows. */
+private const val MANY = 1_000_000L
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/UpstreamRecord.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/UpstreamRecord.kt
@@ -21,8 +21,12 @@
     val address: Address,
     val zone: ZoneName,
     val slots: Int,
-    val isLeaving: Boolean
+    val isLeaving: Boolean,
+    val group: GroupMembership? = null
 )
 
+/** Place of an upstream in a rank group of [size] ranks. */
+public data class GroupMembership(val name: String, val rank: Int, val size: Int)
+
 /** An upstream that was listed, and since when it is missing from the list, if it is. */
 public data class ListedUpstream(val record: UpstreamRecord, val missingSince: Instant? = null)
--- a/core/src/main/kotlin/org/shallotplank/core/placement/ExpertPopularity.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/ExpertPopularity.kt
@@ -51,6 +51,12 @@
         return DoubleArray(counts.size) { counts[it] / total }
     }
 
+    /** The same counts with [count] further experts in each layer that no token was routed to. */
+    internal fun withUnusedExperts(count: Int): ExpertPopularity = ExpertPopularity(
+        countsByLayer.map { it.copyOf(it.size + count) },
+        updatedAt
+    )
+
     public companion object {
         /** A tracker that has counted nothing yet. */
         public fun unknown(layers: Int, expertsPerLayer: Int): ExpertPopularity =
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
@@ -24,6 +24,10 @@
 import org.shallotplank.core.quarantine.CrashRecord
 import org.shallotplank.core.quarantine.Quarantine
 import org.shallotplank.core.quarantine.RequestFingerprint
+import org.shallotplank.gateway.group.GroupKeepers
+import org.shallotplank.gateway.group.KeeperCandidate
+import org.shallotplank.gateway.group.KeeperSurroundings
+import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.http.HttpClient
 import org.shallotplank.gateway.peer.KnownCrash
 import org.shallotplank.gateway.peer.PeerReport
@@ -36,6 +40,7 @@
 import org.shallotplank.gateway.peer.fetchTable
 import org.shallotplank.gateway.store.FollowSettings
 import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.StoreRow
 import org.shallotplank.gateway.store.TableFollower
 import org.shallotplank.gateway.store.TableReplica
 
@@ -67,6 +72,7 @@
     )
     private lateinit var followers: Map<String, TableFollower>
     private lateinit var registration: Registration
+    private lateinit var keepers: GroupKeepers
     private var seeds = settings.seedAddresses.toSet()
     private var staleSince: Instant? = clock.now()
     private val crashes = LinkedHashMap<KnownCrash, Instant>()
@@ -76,7 +82,7 @@
         get() = clock.now() - (followers.values.maxOfOrNull { it.answeredAt } ?: clock.now())
 
     /** Starts to follow the store and the other entries. */
-    fun start(store: MetadataStore) {
+    fun start(store: MetadataStore, ranks: RankPort) {
         val follows = listOf(
             FollowSettings(schema.operatorTable, wait = OPERATOR_WAIT),
             FollowSettings(schema.upstreamTable, wait = UPSTREAM_WAIT, pause = UPSTREAM_PAUSE),
@@ -98,6 +104,7 @@
             publicAddress = settings.listenAddress.toString(),
             zone = settings.zone.value
         )
+        keepers = GroupKeepers(surroundings(), store, ranks, scope)
         registration = Registration(settings.instanceId.value, row, schema.entryTable, store)
         exchanges.onCrash = ::onOwnCrash
         followers.values.forEach { follower -> scope.launch { follower.run() } }
@@ -123,16 +130,35 @@
         crashes.values.removeAll { now - it > CRASH_SHARED }
         updateReadiness(now)
         emitPeers()
+        keepers.tick(now)
     }
 
+    private fun surroundings() = KeeperSurroundings(
+        own = KeeperCandidate(settings.instanceId.value, environment.incarnation),
+        candidates = ::keeperCandidates,
+        state = exchanges::state,
+        table = schema.entryTable,
+        replica = ::entryReplica,
+        clock = clock,
+        log = log
+    )
+
+    private fun keeperCandidates(): List<KeeperCandidate> {
+        val own = KeeperCandidate(settings.instanceId.value, environment.incarnation)
+        val isServing = exchanges.state.isReady && !exchanges.state.isStopping
+        return listOfNotNull(own.takeIf { isServing }) + servingPeers()
+            .map { KeeperCandidate(it.instance, it.incarnation) }
+    }
+
+    private fun servingPeers(): List<PeerReport> = peers.alive
+        .mapNotNull { it.report }
+        .filter { it.isReady && !it.isStopping }
+
     /** Entries that callers may use: this one first, if it serves. */
     fun servingEntries(): List<Address> {
         val isServing = exchanges.state.isReady && !exchanges.state.isStopping
         val own = listOfNotNull(settings.listenAddress.takeIf { isServing })
-        val others = peers.alive
-            .mapNotNull { it.report }
-            .filter { it.isReady && !it.isStopping }
-            .mapNotNull { addressOf(it.publicAddress) }
+        val others = servingPeers().mapNotNull { addressOf(it.publicAddress) }
         return (own + others).distinct()
     }
 
@@ -160,6 +186,10 @@
         return TableCopy(replica.version, rows)
     }
 
+    /** Rows of entries, without those of group leases. */
+    private fun entryRows(): List<StoreRow> =
+        entryReplica().rows.filter { it.key.startsWith(Registration.KEY_PREFIX) }
+
     private fun entryReplica(): TableReplica = followers.getValue(schema.entryTable).replica
 
     private fun onContact(table: String, replica: TableReplica, isChanged: Boolean) {
@@ -189,7 +219,7 @@
         exchanges.emit(GatewayEvent.UpstreamsListed(upstreams.listed()))
 
     private fun followPeers() {
-        val registered = entryReplica().rows
+        val registered = entryRows()
             .mapNotNull { row -> decodeRow(row.value)?.peerAddress?.let(::addressOf) }
         peers.follow(registered.toSet() + seeds)
     }
@@ -199,7 +229,8 @@
         val inFlight = reports.flatMap { it.inFlight }
             .groupBy { UpstreamKey(InstanceId(it.id), it.incarnation) }
             .mapValues { (_, counts) -> counts.sumOf { it.count } }
-        val known = (entryReplica().rows.map { it.key } + settings.instanceId.value).distinct().size
+        val own = Registration.keyOf(settings.instanceId.value)
+        val known = (entryRows().map { it.key } + own).distinct().size
         exchanges.emit(
             GatewayEvent.PeersReported(
                 entryCount = maxOf(known, reports.size + 1),
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
@@ -23,6 +23,7 @@
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
+import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.log.JsonLogWriter
 import org.shallotplank.gateway.store.MetadataStore
 
@@ -41,6 +42,7 @@
  * All of it runs on one event loop, so that nothing is shared between threads.
  *
  * @param store opens the store's client on the event loop that it is given.
+ * @param ranks opens the client of the rank groups' engines there.
  */
 public class GatewayProcess(
     private val settings: GatewayEntrySettings,
@@ -48,6 +50,7 @@
     private val schema: StoreSchema,
     private val directory: DirectoryWire,
     private val store: (EventLoopGroup) -> MetadataStore,
+    private val ranks: (EventLoopGroup, (LogRecord) -> Unit) -> RankPort,
     private val environment: GatewayEnvironment
 ) {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -94,7 +97,7 @@
         interfaces.start()
         loop.execute {
             lastTickAt = clock.now()
-            beliefs.start(store(group))
+            beliefs.start(store(group), ranks(group, ::log))
         }
         loop.scheduleAtFixedRate(
             ::tick,
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/Registration.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/Registration.kt
@@ -12,27 +12,35 @@
  * to a row that was written since.
  */
 internal class Registration(
-    private val instance: String,
+    instance: String,
     row: PeerRow,
     private val table: String,
     private val store: MetadataStore
 ) {
+    private val key = keyOf(instance)
     private val value = Json.encodeToString(row)
     private var writtenOver: Long? = null
 
     /** Writes the row if [replica] does not show it. */
     suspend fun ensure(replica: TableReplica) {
-        val present = replica.row(instance)
+        val present = replica.row(key)
         if (present?.value == value) return
         val expected = present?.version ?: 0
         if (writtenOver == expected) return
-        val isDone = store.write(table, instance, value, expected).isRight()
+        val isDone = store.write(table, key, value, expected).isRight()
         writtenOver = expected.takeIf { isDone }
     }
 
     /** Deletes the row, if [replica] shows it. */
     suspend fun remove(replica: TableReplica) {
-        val present = replica.row(instance)?.takeIf { it.value == value } ?: return
-        store.delete(table, instance, present.version)
+        val present = replica.row(key)?.takeIf { it.value == value } ?: return
+        store.delete(table, key, present.version)
+    }
+
+    internal companion object {
+        /** Rows of entries begin with this in their table. */
+        const val KEY_PREFIX = "entry/"
+
+        fun keyOf(instance: String): String = KEY_PREFIX + instance
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -0,0 +1,199 @@
+package org.shallotplank.gateway.group
+
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.shallotplank.core.expertmap.GroupKeeper
+import org.shallotplank.core.expertmap.GroupKeeperSettings
+import org.shallotplank.core.expertmap.KeeperStage
+import org.shallotplank.core.gateway.GatewayState
+import org.shallotplank.core.gateway.GatewayUpstream
+import org.shallotplank.core.gateway.PlacementProfile
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.LogRecord
+import org.shallotplank.core.log.logRecord
+import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.TableReplica
+
+/** Who keeps a group; [term] rises with each holder. */
+@Serializable
+internal data class GroupLease(val holder: String, val incarnation: Long, val term: Long)
+
+/** An entry that may keep groups. */
+internal data class KeeperCandidate(val instance: String, val incarnation: Long)
+
+/** What the keepers need to know of the entry that they run in. */
+internal class KeeperSurroundings(
+    val own: KeeperCandidate,
+    /** Entries that serve, this one included if it does. */
+    val candidates: () -> Collection<KeeperCandidate>,
+    val state: () -> GatewayState,
+    val table: String,
+    val replica: () -> TableReplica,
+    val clock: Clock,
+    val log: (LogRecord) -> Unit
+)
+
+/**
+ * Keeps the rank groups whose leases this entry holds.
+ *
+ * A lease is a row of the store that changes hands only when its holder does not serve any more.
+ * Two entries that both believe to hold one are told apart by the ranks, which refuse the lower
+ * fencing number.
+ */
+internal class GroupKeepers(
+    private val around: KeeperSurroundings,
+    private val store: MetadataStore,
+    private val port: RankPort,
+    private val scope: CoroutineScope
+) {
+    private val running = HashMap<String, RunningKeeper>()
+    private val claimedAt = HashMap<String, Instant>()
+    private var checkedAt: Instant = Instant.DISTANT_PAST
+
+    /** Follows the time and the list of upstreams. */
+    fun tick(now: Instant) {
+        running.values.forEach { it.tick(now) }
+        if (now - checkedAt < CHECK_INTERVAL) return
+        checkedAt = now
+        val groups = knownGroups()
+        (running.keys - groups.keys).forEach { running.remove(it) }
+        groups.forEach { (name, group) -> check(name, group, now) }
+        port.keepOnly(running.values.flatMap { it.ranks.values }.toSet())
+    }
+
+    private fun check(name: String, group: KnownGroup, now: Instant) {
+        val row = around.replica().row(KEY_PREFIX + name)
+        val lease = row?.let { decode(it.value) }
+        val isOwn = lease?.holder == around.own.instance &&
+            lease.incarnation == around.own.incarnation
+        val keeper = running[name]
+        val isSettled = keeper == null || keeper.state.stage is KeeperStage.Settled
+        val candidates = around.candidates()
+        when {
+            isOwn && keeper?.state?.isFenced != true ->
+                if (around.own in candidates || !isSettled) keep(name, group, lease) else running.remove(name)
+            isOwn -> claim(name, lease, row.version, now)
+            else -> {
+                running.remove(name)
+                val isHeld = candidates.any {
+                    it.instance == lease?.holder && it.incarnation == lease.incarnation
+                }
+                if (!isHeld && around.own == preferred(name, candidates)) {
+                    claim(name, lease, row?.version ?: 0, now)
+                }
+            }
+        }
+    }
+
+    /** The candidate that takes a free lease; spreads many groups over the entries. */
+    private fun preferred(name: String, candidates: Collection<KeeperCandidate>): KeeperCandidate? =
+        candidates.minByOrNull { "$name ${it.instance}".hashCode() }
+
+    private fun claim(name: String, lease: GroupLease?, version: Long, now: Instant) {
+        val last = claimedAt[name]
+        if (last != null && now - last < CLAIM_INTERVAL) return
+        claimedAt[name] = now
+        val next = GroupLease(around.own.instance, around.own.incarnation, (lease?.term ?: 0) + 1)
+        around.log(
+            logRecord(
+                LogEvent.GROUP_LEASE,
+                "group" to name,
+                "before" to lease,
+                "claimed" to next,
+                "expected_version" to version
+            )
+        )
+        scope.launch {
+            store.write(around.table, KEY_PREFIX + name, Json.encodeToString(next), version)
+        }
+    }
+
+    private fun keep(name: String, group: KnownGroup, lease: GroupLease) {
+        val fence = lease.term * GroupKeeper.FENCES_PER_LEASE
+        val present = running[name]
+        val isSame = present != null &&
+            present.leaseFence == fence &&
+            present.state.ranks == group.ranks.size
+        if (isSame) {
+            present.ranks = group.ranks
+            return
+        }
+        val keeper = GroupKeeper(
+            group = name,
+            fence = fence,
+            ranks = group.ranks.size,
+            placement = group.placement,
+            settings = settingsFor(group.placement, group.ranks.size),
+            stage = KeeperStage.Surveying(around.clock.now())
+        )
+        running[name] =
+            RunningKeeper(keeper, group.ranks, port, scope, around.clock, around.log)
+    }
+
+    private fun knownGroups(): Map<String, KnownGroup> {
+        val state = around.state()
+        val members = state.upstreams.values.filter {
+            it.record.group != null && it.missingSince == null
+        }
+        return members.groupBy { it.record.group?.name.orEmpty() }
+            .mapNotNull { (name, group) -> knownGroup(group, state)?.let { name to it } }
+            .toMap()
+    }
+
+    /** The group of [members], null while some rank is not known exactly once. */
+    private fun knownGroup(members: List<GatewayUpstream>, state: GatewayState): KnownGroup? {
+        val service = state.routes?.services?.get(members.first().record.service)
+        val placement = service?.engine?.placement ?: return null
+        val size = members.first().record.group?.size ?: return null
+        val ranks = members.associate { member ->
+            (member.record.group?.rank ?: 0) to RankAddress(member.record.id, member.record.address)
+        }
+        val isWhole = members.size == size && ranks.size == size
+        return if (isWhole) KnownGroup(ranks, placement) else null
+    }
+
+    private fun decode(value: String): GroupLease? = try {
+        Json.decodeFromString<GroupLease>(value)
+    } catch (e: SerializationException) {
+        around.log(
+            logRecord(LogEvent.STORE_ROW_UNREADABLE, "row" to "group", "detail" to e.message)
+        )
+        null
+    }
+
+    private class KnownGroup(
+        val ranks: Map<Int, RankAddress>,
+        val placement: PlacementProfile
+    )
+
+    internal companion object {
+        /** Rows of leases begin with this in the entries' table. */
+        const val KEY_PREFIX = "group/"
+        private val CHECK_INTERVAL = 200.milliseconds
+
+        /** Time for a claim to show in the copy of the table. */
+        private val CLAIM_INTERVAL = 3.seconds
+
+        private fun settingsFor(placement: PlacementProfile, ranks: Int) = GroupKeeperSettings(
+            sampledRanks = (ranks / RANKS_PER_SAMPLE).coerceIn(1, MAX_SAMPLES),
+            countInterval = COUNT_INTERVAL,
+            popularityHalfLife = POPULARITY_HALF_LIFE,
+            maxLoadsPerRank = placement.spareSlots.coerceAtLeast(1),
+            minGain = MIN_GAIN
+        )
+
+        /** Requests are spread at random, so that a quarter of the ranks shows what all choose. */
+        private const val RANKS_PER_SAMPLE = 4
+        private const val MAX_SAMPLES = 4
+        private val COUNT_INTERVAL = 1.seconds
+        private val POPULARITY_HALF_LIFE = 2.seconds
+        private const val MIN_GAIN = 0.05
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
@@ -0,0 +1,73 @@
+package org.shallotplank.gateway.group
+
+import kotlin.time.Clock
+import kotlin.time.Instant
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.shallotplank.core.expertmap.GroupKeeper
+import org.shallotplank.core.expertmap.GroupKeeperEffect
+import org.shallotplank.core.expertmap.GroupKeeperEvent
+import org.shallotplank.core.expertmap.on
+import org.shallotplank.core.log.LogRecord
+
+/** Runs the reducer of one group's keeper and its effects. */
+internal class RunningKeeper(
+    initial: GroupKeeper,
+    var ranks: Map<Int, RankAddress>,
+    private val port: RankPort,
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+    private val log: (LogRecord) -> Unit
+) {
+    /** The state after the last event. */
+    var state: GroupKeeper = initial
+        private set
+
+    /** The fencing number that the lease gave. */
+    val leaseFence: Long = initial.fence
+
+    /** Follows the time. */
+    fun tick(now: Instant) {
+        reduce(GroupKeeperEvent.Tick, now)
+    }
+
+    private fun reduce(event: GroupKeeperEvent, now: Instant = clock.now()) {
+        val step = state.on(event, now)
+        state = step.state
+        step.effects.forEach(::perform)
+    }
+
+    private fun perform(effect: GroupKeeperEffect) {
+        when (effect) {
+            is GroupKeeperEffect.Log -> log(effect.record)
+            is GroupKeeperEffect.ReadReport -> ask(effect.rank) { address ->
+                port.report(address)?.let { GroupKeeperEvent.Reported(effect.rank, it) }
+            }
+            is GroupKeeperEffect.ReadCounts -> ask(effect.rank) { address ->
+                port.counts(address)?.let {
+                    GroupKeeperEvent.Counted(effect.rank, it.epoch, it.counts)
+                }
+            }
+            is GroupKeeperEffect.ReadMap -> ask(effect.rank) { address ->
+                port.experts(address)?.let {
+                    GroupKeeperEvent.Listed(effect.rank, it.epoch, it.version, it.experts)
+                }
+            }
+            is GroupKeeperEffect.Give -> ask(effect.rank) { address ->
+                val outcome = port.give(address, effect.order, effect.epoch, effect.fence)
+                GroupKeeperEvent.Answered(
+                    effect.rank,
+                    effect.epoch,
+                    effect.fence,
+                    effect.order,
+                    outcome
+                )
+            }
+        }
+    }
+
+    private fun ask(rank: Int, question: suspend (RankAddress) -> GroupKeeperEvent?) {
+        val address = ranks[rank] ?: return
+        scope.launch { question(address)?.let { reduce(it) } }
+    }
+}
