Reach engines through relays beside them

Cause: reading counts from afar is priced and pauses the group, so that three ranks a second were read, too few and too late to follow the demand.

Change: a relay on each engine's machine passes bytes to it; the keeper reads all ranks each half second through them, and falls back to the engines.

--- a/cli/src/main/kotlin/org/shallotplank/cli/Main.kt
+++ b/cli/src/main/kotlin/org/shallotplank/cli/Main.kt
@@ -34,6 +34,7 @@
     EntryCommand(),
     AgentCommand(),
     GatewayCommand(),
+    RelayCommand(),
     CheckCommand(),
     PublishCommand(),
     StatusCommand()
--- a/config/src/main/kotlin/org/shallotplank/config/ConfigurationFiles.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/ConfigurationFiles.kt
@@ -39,6 +39,10 @@
 public fun readGatewayEntrySettings(path: Path): Reading<GatewayEntrySettings> =
     readFile(path, ::readGatewayEntrySettings)
 
+/** Reads the settings of a relay from [path]; see [readRelaySettings]. */
+public fun readRelaySettings(path: Path): Reading<RelaySettings> =
+    readFile(path, ::readRelaySettings)
+
 private fun <T : Any> readFile(path: Path, read: (SourceFile) -> Reading<T>): Reading<T> {
     val findings = FindingCollector()
     val source = load(path, findings) ?: return findings.conclude { null }
--- a/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
@@ -27,6 +27,8 @@
     val storeAddress: Address,
     /** Port of the metrics at the address where callers connect. */
     val metricsPort: Int,
+    /** Port of the relays beside the engines of rank groups, null where there are none. */
+    val relayPort: Int?,
     /** Peer addresses of some entries, which may be out of date. */
     val seedAddresses: PersistentList<Address> = persistentListOf(),
     /** File descriptors that the process may use for connections. */
--- a/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
@@ -39,6 +39,13 @@
         rule = wholeNumber(1..PORT_MAX),
         doc = "Port on which metrics are served, at the IP number of `listen_address`."
     )
+    val relayPort = KeySpec(
+        name = "relay_port",
+        rule = wholeNumber(1..PORT_MAX),
+        required = false,
+        doc = "Port of the relays on the engines' machines. Left out where there are none; the " +
+            "engines are then asked from afar, which stops their group for a moment."
+    )
     val seedAddresses = KeySpec(
         name = "seed_addresses",
         rule = remoteAddresses(),
@@ -90,6 +97,7 @@
             peerAddress,
             storeAddress,
             metricsPort,
+            relayPort,
             seedAddresses,
             maxConnections,
             stopGrace,
@@ -120,6 +128,7 @@
         GatewayKeys.storeAddress
     )
     val metricsPort = read(GatewayKeys.metricsPort)
+    val relayPort = read(GatewayKeys.relayPort)
     val seedAddresses = read(GatewayKeys.seedAddresses)
     val maxConnections = read(GatewayKeys.maxConnections)
     val stopGrace = read(GatewayKeys.stopGrace)
@@ -137,6 +146,7 @@
             peerAddress = addresses[GatewayKeys.peerAddress].bind(),
             storeAddress = addresses[GatewayKeys.storeAddress].bind(),
             metricsPort = metricsPort.bind(),
+            relayPort = relayPort,
             seedAddresses = seedAddresses.bind(),
             maxConnections = maxConnections.bind(),
             stopGrace = stopGrace.bind(),
--- a/config/src/test/kotlin/org/shallotplank/config/ReferencePageTest.kt
+++ b/config/src/test/kotlin/org/shallotplank/config/ReferencePageTest.kt
@@ -14,7 +14,8 @@
     customersFileSpec,
     entrySettingsSpec,
     agentSettingsSpec,
-    gatewaySettingsSpec
+    gatewaySettingsSpec,
+    relaySettingsSpec
 )
 
 private const val SERVICE_FILE_INTRODUCTION = """
@@ -49,7 +50,7 @@
 
 private const val SETTINGS_INTRODUCTION = """
 Each process reads one TOML file at its start: `shallotplank entry --settings FILE`,
-`shallotplank agent --settings FILE` and `shallotplank gateway --settings FILE`. The settings say what the process is and where it listens;
+and so do `shallotplank agent`, `shallotplank gateway` and `shallotplank relay`. The settings say what the process is and where it listens;
 what it does with requests is in the published configuration. All findings are printed together,
 one a line, as `file:line: key: expected X, found Y`, and the process does not start while there is
 one. Addresses are IP numbers with a port: a host name is a finding, and so is one address under
@@ -133,7 +134,7 @@
             referencePage(
                 title = "Settings reference",
                 introduction = SETTINGS_INTRODUCTION,
-                specs = listOf(entrySettingsSpec, agentSettingsSpec, gatewaySettingsSpec)
+                specs = listOf(entrySettingsSpec, agentSettingsSpec, gatewaySettingsSpec, relaySettingsSpec)
             )
         )
     }
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -257,7 +257,7 @@
     return when {
         present is KeeperStage.Holding && event.order == RankOrder.Hold(present.step) ->
             if (present.triesMade < MAX_HOLD_TRIES) {
-                val later = present.step + STEPS_AHEAD + present.triesMade
+                val later = present.step + 1 + present.triesMade
                 enter(present.copy(step = later, triesMade = present.triesMade + 1), now)
             } else {
                 enter(KeeperStage.Surveying(now), now)
@@ -349,6 +349,16 @@
 
 private fun GroupKeeper.onTick(now: Instant): GroupKeeperStep {
     if (isFenced) return Step(this)
+    return countIfDue(now).then { it.stageTick(now) }
+}
+
+private fun GroupKeeper.countIfDue(now: Instant): GroupKeeperStep {
+    if (map == null || now - countsAskedAt < settings.countInterval) return Step(this)
+    val asked = sampledRanks().map { GroupKeeperEffect.ReadCounts(it) }
+    return Step(copy(countsAskedAt = now), asked.toPersistentList())
+}
+
+private fun GroupKeeper.stageTick(now: Instant): GroupKeeperStep {
     val present = stage
     if (present is KeeperStage.Settled) return onSettledTick(now)
     val isStuck = present is KeeperStage.Preparing && now - present.since > PREPARE_TIMEOUT
@@ -371,10 +381,6 @@
         asked += GroupKeeperEffect.ReadReport(nextPolledRank)
         next = next.copy(reportsAskedAt = now, nextPolledRank = (nextPolledRank + 1) % ranks)
     }
-    if (now - countsAskedAt >= settings.countInterval) {
-        asked += sampledRanks().map { GroupKeeperEffect.ReadCounts(it) }
-        next = next.copy(countsAskedAt = now)
-    }
     val step = Step(next, asked.toPersistentList())
     return if (now - plannedAt >= settings.countInterval) step.then { it.plan(now) } else step
 }
@@ -393,17 +399,17 @@
 internal val REPORT_LAG: Duration = 600.milliseconds
 
 /** A report is usually about this old. */
-private val USUAL_LAG = 300.milliseconds
+private val USUAL_LAG = 250.milliseconds
 
 /** Passes between the last one that may have begun and the one that is held. */
-private const val STEPS_AHEAD = 2L
+private const val STEPS_AHEAD = 1L
 
 /** Passes that are tried when the one to hold had begun already. */
 private const val MAX_HOLD_TRIES = 6
 
 /** An order without an answer is given again after this time. */
 private val ORDER_INTERVAL = 250.milliseconds
-private val SURVEY_INTERVAL = 250.milliseconds
+private val SURVEY_INTERVAL = 150.milliseconds
 
 /** How often a settled group is looked at, one rank after the other. */
 private val POLL_INTERVAL = 250.milliseconds
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -182,18 +182,19 @@
         private val CLAIM_INTERVAL = 3.seconds
 
         private fun settingsFor(placement: PlacementProfile, ranks: Int) = GroupKeeperSettings(
-            sampledRanks = (ranks / RANKS_PER_SAMPLE).coerceIn(1, MAX_SAMPLES),
+            sampledRanks = ranks.coerceAtMost(MAX_SAMPLES),
             countInterval = COUNT_INTERVAL,
             popularityHalfLife = POPULARITY_HALF_LIFE,
             maxLoadsPerRank = placement.spareSlots.coerceAtLeast(1),
             minGain = MIN_GAIN
         )
 
-        /** Requests are spread at random, so that a quarter of the ranks shows what all choose. */
-        private const val RANKS_PER_SAMPLE = 4
-        private const val MAX_SAMPLES = 4
-        private val COUNT_INTERVAL = 1.seconds
-        private val POPULARITY_HALF_LIFE = 2.seconds
+        /** Requests are spread at random, so that this many ranks show what all choose. */
+        private const val MAX_SAMPLES = 16
+
+        /** Popularity may change within a few seconds. */
+        private val COUNT_INTERVAL = 500.milliseconds
+        private val POPULARITY_HALF_LIFE = 800.milliseconds
         private const val MIN_GAIN = 0.05
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/relay/RankRelay.kt
@@ -0,0 +1,113 @@
+package org.shallotplank.gateway.relay
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.timeout.ReadTimeoutHandler
+import io.netty.util.ReferenceCountUtil
+import java.net.InetSocketAddress
+import org.shallotplank.core.Address
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.LogRecord
+import org.shallotplank.core.log.logRecord
+
+/**
+ * Passes the bytes of keepers' connections to the engine on the same machine, and back.
+ *
+ * Engines answer questions from their own machine without a pause of their group. The relay decides
+ * and keeps nothing; a keeper that cannot reach it asks the engine itself.
+ */
+public class RankRelay(
+    private val address: Address,
+    private val engine: Address,
+    private val log: (LogRecord) -> Unit
+) {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+
+    /** Starts to listen; throws [java.io.IOException] if the address cannot be had. */
+    public fun start() {
+        ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childHandler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(accepted: SocketChannel) = connect(accepted)
+                }
+            )
+            .bind(InetSocketAddress(address.host, address.port))
+            .sync()
+        log(
+            logRecord(
+                LogEvent.PROCESS_STARTED,
+                "instance" to "relay",
+                "callers" to address,
+                "engine" to engine
+            )
+        )
+    }
+
+    private fun connect(accepted: SocketChannel) {
+        val opened = Bootstrap()
+            .group(accepted.eventLoop())
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .option(ChannelOption.AUTO_READ, false)
+            .handler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(created: SocketChannel) {
+                        created.pipeline().addLast(Passing(accepted))
+                    }
+                }
+            )
+            .connect(InetSocketAddress(engine.host, engine.port))
+        accepted.pipeline()
+            .addLast(ReadTimeoutHandler(IDLE_SECONDS))
+            .addLast(Passing(opened.channel()))
+        opened.addListener(
+            ChannelFutureListener {
+                if (it.isSuccess) {
+                    accepted.config().isAutoRead = true
+                    it.channel().config().isAutoRead = true
+                } else {
+                    accepted.close()
+                }
+            }
+        )
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MILLIS = 500
+
+        /** Keepers ask several times a second. */
+        const val IDLE_SECONDS = 30
+    }
+}
+
+/** Writes what comes on one connection to the [other] one, and closes both together. */
+private class Passing(private val other: Channel) : ChannelInboundHandlerAdapter() {
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (other.isActive) other.writeAndFlush(message) else ReferenceCountUtil.release(message)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        other.close()
+    }
+
+    @Deprecated("Netty marks it so in its base class")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+}
