Bound requests at engines by the pauses that streams see

Change: the pause observed gives what each request adds to a pass, and from it the requests that may run; the planner leaves layers below a skew of 1.2 alone.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
@@ -37,6 +37,8 @@
     val settings = PlacementSettings(
         expertBytes = 1,
         weightStoreBytesPerSecond = Long.MAX_VALUE / MANY,
+        triggerSlowness = TRIGGER_SLOWNESS,
+        goalSlowness = GOAL_SLOWNESS,
         maxLoadsPerRank = settings.maxLoadsPerRank,
         minGain = settings.minGain
     )
@@ -47,5 +49,11 @@
     )
 }
 
+/** Copies are priced; below this a layer is left alone, as the demand changes within seconds. */
+private const val TRIGGER_SLOWNESS = 1.2
+
+/** A changed layer is improved up to here. */
+private const val GOAL_SLOWNESS = 1.08
+
 /** Keeps the planner's bound on copies above what [PlacementSettings.maxLoadsPerRank] allows. */
 private const val MANY = 1_000_000L
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -30,8 +30,9 @@
     val usable = upstreamsOf(service).filter { isInService(it) && it.isUsable(context.now) }
     val slots = usable.sumOf { it.record.slots }
     val others = usable.sumOf { it.othersOutstanding }
-    val share = ceil(slots.toDouble() / entryCount * GUARANTEED_SHARE).toInt()
-    return maxOf(slots - others, share)
+    val places = placesAtPace(service, slots, usable.sumOf { it.totalOutstanding }, context.now)
+    val share = ceil(places.toDouble() / entryCount * GUARANTEED_SHARE).toInt()
+    return maxOf(places - others, share)
 }
 
 /** Takes over a queue and carries out its decisions. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import org.shallotplank.core.RequestId
+import org.shallotplank.core.ServiceName
 import org.shallotplank.core.ZoneName
 import org.shallotplank.core.quarantine.CrashRecord
 
@@ -88,6 +89,10 @@
     /** Another entry knows of crashes. */
     public data class CrashLearned(val record: CrashRecord) : GatewayEvent
 
+    /** Pauses between the events of streams of late, by service. */
+    public data class PausesObserved(val pauses: PersistentMap<ServiceName, Duration>) :
+        GatewayEvent
+
     /** Whether what the process believes is fresh enough to act on. */
     public data class ReadinessChanged(val isReady: Boolean) : GatewayEvent
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
@@ -29,6 +29,7 @@
         is GatewayEvent.UpstreamsListed -> onUpstreamsListed(event.upstreams, context)
         is GatewayEvent.EvacuationsChanged -> onEvacuationsChanged(event.zones, context)
         is GatewayEvent.PeersReported -> onPeersReported(event, context)
+        is GatewayEvent.PausesObserved -> onPausesObserved(event.pauses, context)
         is GatewayEvent.CrashLearned -> Step(copy(quarantine = quarantine.merge(event.record)))
         is GatewayEvent.ReadinessChanged -> Step(copy(isReady = event.isReady))
         is GatewayEvent.SettingsChanged -> Step(copy(settings = event.settings))
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
@@ -34,6 +34,7 @@
     val outOfService: PersistentSet<ZoneName> = persistentSetOf(),
     val queues: PersistentMap<ServiceName, AdmissionQueue> = persistentMapOf(),
     val retries: PersistentMap<ServiceName, RetryWindow> = persistentMapOf(),
+    val paces: PersistentMap<ServiceName, StreamPace> = persistentMapOf(),
     val quarantine: Quarantine = Quarantine(),
     val entryCount: Int = 1
 ) {
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
@@ -27,6 +27,16 @@
             .mapValues { (_, group) -> group.sortedByDescending { it.pathPrefix.length } }
             .toPersistentMap()
 
+    /** Longest acceptable pause between events by service, the shortest one of its routes. */
+    internal val longestPauses: Map<ServiceName, Duration> = buildMap {
+        for (route in routes) {
+            val pause = route.longestPause ?: continue
+            for (target in route.targets) {
+                put(target.service, minOf(pause, this[target.service] ?: pause))
+            }
+        }
+    }
+
     /** The route of [host] with the longest prefix that begins [path], or null. */
     public fun match(host: String, path: String): Route? =
         routesByHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -8,12 +8,15 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import org.shallotplank.config.GatewayEntrySettings
+import kotlinx.collections.immutable.toPersistentMap
 import org.shallotplank.core.RequestId
+import org.shallotplank.core.ServiceName
 import org.shallotplank.core.gateway.CallerLimits
 import org.shallotplank.core.gateway.GatewayEffect
 import org.shallotplank.core.gateway.GatewayEvent
 import org.shallotplank.core.gateway.GatewayRequest
 import org.shallotplank.core.gateway.GatewayState
+import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.core.gateway.on
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
@@ -51,12 +54,14 @@
         this,
         clock
     )
-    private val attempts = AttemptContext(headers, clock, pool, ::emit)
+    private val attempts = AttemptContext(headers, clock, pool, ::emit, ::notePause)
     private val open = LinkedHashMap<RequestId, Exchange>()
     private val openByConnection = HashMap<CallerConnection, Exchange>()
     private val events = ArrayDeque<GatewayEvent>()
     private var isReducing = false
     private var requestCount = 0L
+    private val pausesByService = HashMap<ServiceName, MutableList<Duration>>()
+    private var pausesToldAt: Instant = clock.now()
     private var sweptAt: Instant = clock.now()
 
     /** Called with each crash that the reducer blames on a request. */
@@ -114,6 +119,7 @@
                 emit(GatewayEvent.AttemptSilent(exchange.id, attempt.attemptNumber, silence))
             }
         }
+        if (now - pausesToldAt >= PAUSE_INTERVAL) tellPauses(now)
         emit(GatewayEvent.Tick)
         if (now - sweptAt >= SWEEP_INTERVAL) {
             sweptAt = now
@@ -122,6 +128,21 @@
         }
     }
 
+    private fun notePause(upstream: UpstreamKey, pause: Duration) {
+        val service = state.upstreams[upstream]?.record?.service ?: return
+        pausesByService.getOrPut(service) { mutableListOf() } += pause
+    }
+
+    private fun tellPauses(now: Instant) {
+        pausesToldAt = now
+        if (pausesByService.isEmpty()) return
+        val usual = pausesByService.mapValues { (_, pauses) ->
+            pauses.sorted()[(pauses.size * PAUSE_QUANTILE).toInt().coerceAtMost(pauses.lastIndex)]
+        }
+        pausesByService.clear()
+        emit(GatewayEvent.PausesObserved(usual.toPersistentMap()))
+    }
+
     override fun onRequest(connection: CallerConnection, message: CallerMessage) {
         requestCount++
         val now = clock.now()
@@ -269,6 +290,12 @@
         const val STATUS_SERVER_ERROR = 500
         const val STATUS_UNAVAILABLE = 503
 
+        /** A few passes of engines fit in. */
+        val PAUSE_INTERVAL = 200.milliseconds
+
+        /** The slower pauses count, since one long pause makes an answer late. */
+        const val PAUSE_QUANTILE = 0.7
+
         /** Silence below this is never of interest. */
         val SILENCE_STEP: Duration = 300.milliseconds
         val SWEEP_INTERVAL = 0.25.seconds
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -22,6 +22,7 @@
 import org.shallotplank.core.gateway.AttemptFailure
 import org.shallotplank.core.gateway.EngineLoad
 import org.shallotplank.core.gateway.GatewayEvent
+import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.gateway.Exchange
 import org.shallotplank.gateway.HeaderNames
 
@@ -30,7 +31,9 @@
     val headers: HeaderNames,
     val clock: Clock,
     val pool: UpstreamPool,
-    val emit: (GatewayEvent) -> Unit
+    val emit: (GatewayEvent) -> Unit,
+    /** Told the pause before each event of a stream but the first. */
+    val notePause: (UpstreamKey, Duration) -> Unit
 )
 
 /**
@@ -53,6 +56,7 @@
     private var mode = AnswerMode.HELD
     private var heldBytes = Unpooled.compositeBuffer(MAX_HELD_PARTS)
     private val events = EventSplitter()
+    private var lastEventAt: Instant? = null
     private var isOver = false
     private var lastProgressAt: Instant = context.clock.now()
 
@@ -175,6 +179,9 @@
             return
         }
         if (whole == null) return
+        val now = context.clock.now()
+        lastEventAt?.let { context.notePause(target.key, now - it) }
+        lastEventAt = now
         begin(response)
         events.lastEventId?.let { exchange.lastEventId = it }
         exchange.connection.write(whole)
