Switch maps at the nearest pass and ask for prepared maps directly

Cause: a change took 1.3 s from the counts to the pass, with demand that shifts every few seconds; reports of prepared maps are some hundred ms old.

Change: counts each quarter second, prepare is given again until it is done, and the first pass that may not have begun is held, then the next ones.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -145,7 +145,9 @@
         val version: Long,
         val map: GroupMap,
         val since: Instant,
-        val accepted: PersistentSet<Int> = persistentSetOf()
+        /** When the copies can be complete. */
+        val expectedAt: Instant,
+        val prepared: PersistentSet<Int> = persistentSetOf()
     ) : KeeperStage
 
     /** One rank is asked to hold pass [step]. */
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -33,7 +33,6 @@
     return when (val present = stage) {
         is KeeperStage.Surveying -> kept.concludeSurvey(present, now)
         is KeeperStage.Settled -> kept.checkUndisturbed(report, now)
-        is KeeperStage.Preparing -> kept.holdIfPrepared(present, now)
         is KeeperStage.Switching -> kept.concludeSwitch(present, now)
         else -> Step(kept)
     }
@@ -107,22 +106,22 @@
     return if (isExpected) Step(this) else enter(KeeperStage.Surveying(now), now)
 }
 
-private fun GroupKeeper.holdIfPrepared(
+private fun GroupKeeper.onPrepared(
     preparing: KeeperStage.Preparing,
+    rank: Int,
     now: Instant
 ): GroupKeeperStep {
-    val isPrepared = preparing.accepted.size == ranks &&
-        allRanks.all { reports[it]?.report?.preparedVersion == preparing.version }
-    if (!isPrepared) return Step(this)
+    val next = preparing.copy(prepared = preparing.prepared.add(rank))
+    if (next.prepared.size < ranks) return Step(copy(stage = next))
     val holding = KeeperStage.Holding(preparing.version, preparing.map, stepAhead(now))
     return copy(isUndone = false).enter(holding, now)
 }
 
-/** A pass that has surely not begun and is not far off. */
+/** The first pass that may not have begun; if it has, the next ones are tried. */
 private fun GroupKeeper.stepAhead(now: Instant): Long {
     val latest = reports.values.maxBy { it.report.step }
     val age = now - latest.at + USUAL_LAG
-    return latest.report.step + (age / passes.passTime).toLong() + STEPS_AHEAD
+    return latest.report.step + (age / passes.passTime).toLong() + 1
 }
 
 private fun GroupKeeper.concludeSwitch(
@@ -189,6 +188,8 @@
     val logged = Step(this, effects(GroupKeeperEffect.Log(record)))
     return when (event.outcome) {
         OrderOutcome.DONE -> logged.then { it.onDone(event.rank, event.order, now) }
+        // Asked again until it is done.
+        OrderOutcome.BEGUN -> logged
         OrderOutcome.CONFLICT -> logged.then { it.onConflict(event, now) }
         OrderOutcome.FENCED -> logged.map { it.copy(isFenced = true) }
         // Repeated at the next tick, while it is still wanted.
@@ -199,10 +200,8 @@
 private fun GroupKeeper.onDone(rank: Int, order: RankOrder, now: Instant): GroupKeeperStep {
     val present = stage
     return when {
-        present is KeeperStage.Preparing && order.isPrepareOf(present.version) -> {
-            val accepted = present.copy(accepted = present.accepted.add(rank))
-            copy(stage = accepted).holdIfPrepared(accepted, now)
-        }
+        present is KeeperStage.Preparing && order.isPrepareOf(present.version) ->
+            onPrepared(present, rank, now)
         present is KeeperStage.Holding && order == RankOrder.Hold(present.step) ->
             enter(KeeperStage.Arming(present.version, present.map, present.step), now)
         present is KeeperStage.Arming &&
@@ -257,8 +256,11 @@
     return when {
         present is KeeperStage.Holding && event.order == RankOrder.Hold(present.step) ->
             if (present.triesMade < MAX_HOLD_TRIES) {
-                val later = present.step + 1 + present.triesMade
-                enter(present.copy(step = later, triesMade = present.triesMade + 1), now)
+                val next = present.copy(
+                    step = present.step + 1,
+                    triesMade = present.triesMade + 1
+                )
+                enter(next, now)
             } else {
                 enter(KeeperStage.Surveying(now), now)
             }
@@ -320,8 +322,7 @@
     is KeeperStage.Settled -> emptyList()
     is KeeperStage.Preparing -> {
         val order = RankOrder.Prepare(present.version, present.map)
-        val unaccepted = allRanks.filter { it !in present.accepted }.map { give(it, order) }
-        unaccepted.ifEmpty { reportsWithout { it.preparedVersion == present.version } }
+        allRanks.filter { it !in present.prepared }.map { give(it, order) }
     }
     is KeeperStage.Holding -> listOf(give(HOLDING_RANK, RankOrder.Hold(present.step)))
     is KeeperStage.Arming -> {
@@ -344,10 +345,6 @@
         present.stepByRank.map { (rank, step) -> give(rank, RankOrder.Release(step)) }
 }
 
-private fun GroupKeeper.reportsWithout(isDone: (RankReport) -> Boolean): List<GroupKeeperEffect> =
-    allRanks.filter { rank -> reports[rank]?.report?.let(isDone) != true }
-        .map { GroupKeeperEffect.ReadReport(it) }
-
 private fun GroupKeeper.give(rank: Int, order: RankOrder): GroupKeeperEffect =
     GroupKeeperEffect.Give(rank, order, epoch, fence)
 
@@ -367,11 +364,18 @@
     if (present is KeeperStage.Settled) return onSettledTick(now)
     val isStuck = present is KeeperStage.Preparing && now - present.since > PREPARE_TIMEOUT
     if (isStuck) return enter(KeeperStage.Surveying(now), now)
-    val interval = if (present.givesOrders()) ORDER_INTERVAL else SURVEY_INTERVAL
-    if (now - reportsAskedAt < interval) return Step(this)
+    if (now < nextWantedAt(present)) return Step(this)
     return Step(copy(reportsAskedAt = now), wanted().toPersistentList())
 }
 
+/** When the questions and orders of [present] are to be repeated. */
+private fun GroupKeeper.nextWantedAt(present: KeeperStage): Instant = when {
+    present is KeeperStage.Preparing ->
+        maxOf(reportsAskedAt + PREPARE_INTERVAL, present.expectedAt)
+    present.givesOrders() -> reportsAskedAt + ORDER_INTERVAL
+    else -> reportsAskedAt + SURVEY_INTERVAL
+}
+
 private fun KeeperStage.givesOrders(): Boolean = when (this) {
     is KeeperStage.Holding, is KeeperStage.Arming, is KeeperStage.Releasing,
     is KeeperStage.Undoing, is KeeperStage.LettingGo -> true
@@ -402,17 +406,15 @@
 /** A report may be this old when it comes. */
 internal val REPORT_LAG: Duration = 600.milliseconds
 
-/** A report is usually about this old. */
-private val USUAL_LAG = 250.milliseconds
-
-/** Passes between the last one that may have begun and the one that is held. */
-private const val STEPS_AHEAD = 1L
+/** A report is usually at least this old. */
+private val USUAL_LAG = 150.milliseconds
 
 /** Passes that are tried when the one to hold had begun already. */
-private const val MAX_HOLD_TRIES = 6
+private const val MAX_HOLD_TRIES = 20
 
 /** An order without an answer is given again after this time. */
 private val ORDER_INTERVAL = 250.milliseconds
+private val PREPARE_INTERVAL = 100.milliseconds
 private val SURVEY_INTERVAL = 150.milliseconds
 
 /** How often a settled group is looked at, one rank after the other. */
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
@@ -1,5 +1,6 @@
 package org.shallotplank.core.expertmap
 
+import kotlin.time.Duration
 import kotlin.time.Instant
 import org.shallotplank.core.Step
 import org.shallotplank.core.log.LogEvent
@@ -28,7 +29,18 @@
         "slowness_after" to "%.3f".format(plan.slownessAfter)
     )
     return Step(looked.copy(lastVersion = version), effects(GroupKeeperEffect.Log(record)))
-        .then { it.enter(KeeperStage.Preparing(version, next, now), now) }
+        .then { it.enter(KeeperStage.Preparing(version, next, now, now + it.copyTime(next)), now) }
+}
+
+/** Time that the rank with the most experts to copy takes for [next]. */
+private fun GroupKeeper.copyTime(next: GroupMap): Duration {
+    val present = map ?: return Duration.ZERO
+    val most = allRanks.maxOf { rank ->
+        next.layers.indices.sumOf { layer ->
+            (next.layers[layer][rank] - present.layers[layer][rank].toSet()).size
+        }
+    }
+    return placement.expertCopyTime * most
 }
 
 private fun GroupKeeper.planFor(present: GroupMap): MapPlan? {
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/RankReport.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/RankReport.kt
@@ -40,9 +40,12 @@
 
 /** What came of a [RankOrder]. */
 public enum class OrderOutcome {
-    /** It is carried out or under way. */
+    /** It is carried out. */
     DONE,
 
+    /** It is under way. */
+    BEGUN,
+
     /** It does not fit the rank's state. */
     CONFLICT,
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
@@ -122,7 +122,8 @@
     val expertsPerLayer: Int,
     val slotsPerRank: Int,
     val spareSlots: Int,
-    val expertMegabytes: Double
+    /** Time that a rank takes to copy one expert of one layer. */
+    val expertCopyTime: Duration
 )
 
 /** The customer that holds a credential, with the priority that goes before its routes'. */
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperFuzz.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperFuzz.kt
@@ -48,7 +48,7 @@
     expertsPerLayer = 6,
     slotsPerRank = 3,
     spareSlots = 2,
-    expertMegabytes = 1.0
+    expertCopyTime = 100.milliseconds
 )
 
 private const val RANKS = 3
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -193,8 +193,8 @@
         private const val MAX_SAMPLES = 16
 
         /** Popularity may change within a few seconds. */
-        private val COUNT_INTERVAL = 500.milliseconds
-        private val POPULARITY_HALF_LIFE = 800.milliseconds
+        private val COUNT_INTERVAL = 250.milliseconds
+        private val POPULARITY_HALF_LIFE = 500.milliseconds
         private const val MIN_GAIN = 0.05
     }
 }
