--- /dev/null
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
@@ -0,0 +1,295 @@
+package org.shallotplank.gateway
+
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import org.junit.jupiter.api.Nested
+import org.shallotplank.core.gateway.CallerLimits
+import org.shallotplank.core.gateway.GatewayEvent
+
+/** What callers and upstreams see of a gateway entry, one trap of the data path at a time. */
+class DataPathTest {
+    private val open = mutableListOf<AutoCloseable>()
+
+    @AfterTest
+    fun closeAll(): Unit = open.forEach { it.close() }
+
+    private fun upstream(
+        respond: (ReadRequest, java.net.Socket, Int) -> Unit = { request, socket, _ ->
+            socket.send(answer(request))
+        }
+    ) = ScriptedUpstream(respond).also { open += it }
+
+    private fun gateway(
+        vararg upstreams: ScriptedUpstream,
+        maxAttempts: Int = 2,
+        timeout: kotlin.time.Duration = 5_000.milliseconds,
+        limits: CallerLimits = CallerLimits()
+    ) = GatewayFixture(upstreams.toList(), maxAttempts, timeout, limits).also { open += it }
+
+    @Nested
+    inner class Forwarding {
+        @Test
+        fun `keeps method, target, body and end-to-end headers`() {
+            val upstream = upstream()
+            val extra = "X-Own: 1\r\nX-Hop: 2\r\nTE: trailers\r\n"
+            val message = request("safe", extra, body = "hello")
+                .replace("Connection: close", "Connection: close, X-Hop")
+            val reply = gateway(upstream).exchange(message)
+            val seen = upstream.requests.single()
+            assertEquals("POST /safe/x?q=1 HTTP/1.1", seen.line)
+            assertEquals("hello", seen.body)
+            assertEquals("1", seen.header("X-Own"))
+            assertNull(seen.header("X-Hop"))
+            assertNull(seen.header("TE"))
+            assertContains(reply, "X-Stamp: s")
+            assertTrue(reply.endsWith("ok"))
+        }
+
+        @Test
+        fun `replaces the credential by its holder, whatever the caller says`() {
+            val upstream = upstream()
+            gateway(upstream).exchange(request("safe", extra = "X-Customer: bob\r\n"))
+            val seen = upstream.requests.single()
+            assertNull(seen.header("X-Credential"))
+            assertEquals(listOf("X-Customer: alice"), seen.headers.filter { "Customer" in it })
+        }
+
+        @Test
+        fun `names the upstream and hands on the time that is left`() {
+            val upstream = upstream()
+            gateway(upstream).exchange(request("safe"))
+            val seen = upstream.requests.single()
+            assertEquals("u0", seen.header("X-Expect"))
+            assertTrue((seen.header("X-Time-Left") ?: "0").toInt() in 4_000..5_000)
+        }
+
+        @Test
+        fun `takes a body in chunks`() {
+            val upstream = upstream()
+            val head = request("safe").replace("Content-Length: 0", "Transfer-Encoding: chunked")
+            gateway(upstream).exchange(head + chunk("he") + chunk("llo") + LAST_CHUNK)
+            assertEquals("hello", upstream.requests.single().body)
+        }
+    }
+
+    @Nested
+    inner class Rejections {
+        @Test
+        fun `of an unknown route and of an unknown credential reach no upstream`() {
+            val upstream = upstream()
+            val gateway = gateway(upstream)
+            assertContains(gateway.exchange(request("other")), "404 Not Found")
+            val unknown = request("safe").replace("secret", "wrong")
+            assertContains(gateway.exchange(unknown), "401 Unauthorized")
+            assertEquals(0, upstream.requests.size)
+        }
+
+        @Test
+        fun `of ambiguous framing smuggle nothing`() {
+            val upstream = upstream()
+            val gateway = gateway(upstream)
+            val smuggled = "GET /safe/hidden HTTP/1.1\r\nHost: h.example\r\n\r\n"
+            val ambiguous = listOf(
+                request("safe", "Transfer-Encoding: chunked\r\n", smuggled),
+                request("safe", "Content-Length: 3\r\n", smuggled),
+                request("safe").replace("X-Attempt:", "X-Attempt :"),
+                request("safe").replace("\r\nX-Attempt", "\nX-Attempt"),
+                request("safe", "Host: other.example\r\n")
+            )
+            ambiguous.forEach { assertContains(gateway.exchange(it), "400 Bad Request") }
+            assertEquals(0, upstream.requests.size)
+        }
+
+        @Test
+        fun `of large headers and bodies`() {
+            val gateway = gateway(upstream(), limits = CallerLimits(4_096, 100))
+            val large = "X-Large: ${"x".repeat(5_000)}\r\n"
+            assertContains(gateway.exchange(request("safe", large)), " 431 ")
+            assertContains(gateway.exchange(request("safe", body = "x".repeat(101))), " 413 ")
+        }
+
+        @Test
+        fun `of headers that come too slowly`() {
+            val limits = CallerLimits(headerTimeout = 200.milliseconds)
+            val reply = gateway(upstream(), limits = limits).exchange("POST /safe/x HTTP/1.1\r\n")
+            assertContains(reply, "408")
+        }
+    }
+
+    @Nested
+    inner class Answers {
+        @Test
+        fun `of an earlier request are passed over`() {
+            val upstream = upstream { request, socket, number ->
+                if (number == 2) socket.send(answer(request, "stray").replace("a2", "a1"))
+                socket.send(answer(request, "own$number"))
+            }
+            val gateway = gateway(upstream)
+            gateway.connect().use { socket ->
+                socket.send(request("safe", attempt = "a1", close = false))
+                assertContains(readAnswer(socket), "own1")
+                socket.send(request("safe", attempt = "a2", close = false))
+                assertContains(readAnswer(socket), "own2")
+            }
+        }
+
+        @Test
+        fun `without a length are whole when their connection ends and not when it is reset`() {
+            val upstream = upstream { request, socket, number ->
+                val head = "HTTP/1.1 200 OK\r\nX-Attempt: ${request.header("X-Attempt")}\r\n\r\n"
+                socket.send(head + "part")
+                if (number == 1) {
+                    socket.close()
+                } else {
+                    Thread.sleep(100)
+                    socket.reset()
+                }
+            }
+            val gateway = gateway(upstream, maxAttempts = 1)
+            assertContains(gateway.exchange(request("safe")), "content-length: 4\r\n", ignoreCase = true)
+            assertContains(gateway.exchange(request("safe")), "502 Bad Gateway")
+        }
+
+        @Test
+        fun `that break off never look complete`() {
+            val upstream = upstream { request, socket, _ ->
+                socket.send(answer(request, "whole").dropLast(2))
+                socket.close()
+            }
+            val reply = gateway(upstream, maxAttempts = 1).exchange(request("unsafe"))
+            assertContains(reply, "502 Bad Gateway")
+        }
+
+        @Test
+        fun `that fail are replaced only where the request may run again`() {
+            val failing = upstream { request, socket, _ ->
+                socket.send(answer(request, "broken", "500 Internal Server Error"))
+            }
+            val sound = upstream()
+            val gateway = gateway(failing, sound)
+            assertTrue(gateway.exchange(request("safe")).endsWith("ok"))
+            assertTrue(gateway.exchange(request("unsafe")).endsWith("broken"))
+        }
+    }
+
+    @Nested
+    inner class RequestsThatMayRunOnce {
+        @Test
+        fun `are not sent again after a lost connection, and not said to have not run`() {
+            val first = upstream { _, socket, _ -> socket.reset() }
+            val second = upstream()
+            val reply = gateway(first, second).exchange(request("unsafe"))
+            assertContains(reply, "502 Bad Gateway")
+            assertFalse(reply.contains("retry-after", ignoreCase = true))
+            assertEquals(1, first.requests.size + second.requests.size)
+        }
+
+        @Test
+        fun `are sent elsewhere when an upstream did not run them`() {
+            val full = upstream { request, socket, _ ->
+                socket.send(answer(request, "", "503 Service Unavailable", "X-Not-Run: 1\r\n"))
+            }
+            val reply = gateway(full, upstream()).exchange(request("unsafe"))
+            assertTrue(reply.endsWith("ok"))
+        }
+
+        @Test
+        fun `are refused truthfully when all upstreams are full`() {
+            val full = upstream { request, socket, _ ->
+                socket.send(answer(request, "", "503 Service Unavailable", "X-Not-Run: 1\r\n"))
+            }
+            val reply = gateway(full).exchange(request("unsafe"))
+            assertContains(reply, "503 Service Unavailable")
+            assertContains(reply, "retry-after", ignoreCase = true)
+        }
+    }
+
+    @Nested
+    inner class Streams {
+        @Test
+        fun `go on at another upstream behind the last whole event`() {
+            val first = upstream { request, socket, _ ->
+                socket.send(streamHead(request, "first") + chunk("id: 1\ndata: a\n\nid: 2\nda"))
+                Thread.sleep(50)
+                socket.reset()
+            }
+            val second = upstream { request, socket, _ ->
+                socket.send(streamHead(request, "second"))
+                socket.send(chunk("id: 2\ndata: b\n\n") + LAST_CHUNK)
+            }
+            val reply = gateway(first, second).exchange(request("stream"))
+            assertEquals("1", second.requests.single().header("Last-Event-Id"))
+            assertContains(reply, "X-Stamp: first")
+            assertContains(reply, "id: 1\ndata: a\n\n")
+            assertContains(reply, "id: 2\ndata: b\n\n")
+            assertTrue(reply.endsWith(LAST_CHUNK))
+        }
+
+        @Test
+        fun `that cannot go on are cut without their end`() {
+            val only = upstream { request, socket, _ ->
+                socket.send(streamHead(request) + chunk("id: 1\ndata: a\n\n"))
+                Thread.sleep(50)
+                socket.reset()
+            }
+            val reply = gateway(only).exchange(request("stream"))
+            assertFalse(reply.endsWith(LAST_CHUNK))
+        }
+
+        @Test
+        fun `end at the route's timeout`() {
+            val slow = upstream { request, socket, _ ->
+                socket.send(streamHead(request) + chunk("id: 1\ndata: a\n\n"))
+                Thread.sleep(5_000)
+            }
+            val startedAt = System.nanoTime()
+            gateway(slow, timeout = 500.milliseconds).exchange(request("stream"))
+            assertTrue(System.nanoTime() - startedAt < 1_500_000_000)
+        }
+    }
+
+    @Nested
+    inner class CallersThatLeave {
+        @Test
+        fun `free their upstream at once`() {
+            val seen = java.util.concurrent.CompletableFuture<Boolean>()
+            val upstream = upstream { request, socket, _ ->
+                socket.send(streamHead(request) + chunk("id: 1\ndata: a\n\n"))
+                seen.complete(runCatching { socket.getInputStream().read() < 0 }.getOrDefault(true))
+            }
+            val gateway = gateway(upstream)
+            gateway.connect().use { socket ->
+                socket.send(request("stream"))
+                socket.getInputStream().read()
+            }
+            assertTrue(seen.get(2, java.util.concurrent.TimeUnit.SECONDS))
+        }
+    }
+
+    @Nested
+    inner class AStoppingEntry {
+        @Test
+        fun `serves what comes and closes each connection after its answer`() {
+            val gateway = gateway(upstream())
+            gateway.emit(GatewayEvent.StopRequested)
+            val reply = gateway.exchange(request("safe", close = false))
+            assertContains(reply, "connection: close", ignoreCase = true)
+            assertTrue(reply.endsWith("ok"))
+        }
+    }
+
+    /** Reads one answer with a stated length. */
+    private fun readAnswer(socket: java.net.Socket): String {
+        val input = socket.getInputStream()
+        val lines = readHeaderLines(input) ?: return "CLOSED"
+        val length = lines.first { it.startsWith("content-length", ignoreCase = true) }
+            .substringAfter(':').trim().toInt()
+        return lines.joinToString("\n") + "\n\n" + String(input.readNBytes(length))
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/ScriptedUpstream.kt
@@ -0,0 +1,91 @@
+package org.shallotplank.gateway
+
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import org.shallotplank.core.Address
+
+/** A request as an upstream read it. */
+internal class ReadRequest(val line: String, val headers: List<String>, val body: String) {
+    fun header(name: String): String? = headers
+        .firstOrNull { it.startsWith("$name:", ignoreCase = true) }
+        ?.substringAfter(':')
+        ?.trim()
+}
+
+/** An upstream on loopback that answers each request with what [respond] does to the socket. */
+internal class ScriptedUpstream(
+    private val respond: (ReadRequest, Socket, requestNumber: Int) -> Unit
+) : AutoCloseable {
+    private val listening = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val count = AtomicInteger()
+    private val sockets = CopyOnWriteArrayList<Socket>()
+
+    val address = Address("127.0.0.1", listening.localPort)
+    val requests = CopyOnWriteArrayList<ReadRequest>()
+
+    init {
+        thread(isDaemon = true) {
+            while (!listening.isClosed) {
+                val socket = runCatching { listening.accept() }.getOrNull() ?: break
+                sockets += socket
+                thread(isDaemon = true) { serve(socket) }
+            }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        runCatching {
+            while (true) {
+                val request = readRequest(socket.getInputStream()) ?: break
+                requests += request
+                respond(request, socket, count.incrementAndGet())
+            }
+        }
+        socket.close()
+    }
+
+    override fun close() {
+        listening.close()
+        sockets.forEach { it.close() }
+    }
+
+    private companion object {
+        const val BACKLOG = 50
+    }
+}
+
+/** Reads one request with a body of a stated length, null at the end of the connection. */
+internal fun readRequest(input: InputStream): ReadRequest? {
+    val lines = readHeaderLines(input) ?: return null
+    val length = lines.firstOrNull { it.startsWith("content-length:", ignoreCase = true) }
+        ?.substringAfter(':')?.trim()?.toInt() ?: 0
+    val body = String(input.readNBytes(length))
+    return ReadRequest(lines.first(), lines.drop(1), body)
+}
+
+/** Reads lines up to an empty one, null at the end of the connection. */
+internal fun readHeaderLines(input: InputStream): List<String>? {
+    val text = StringBuilder()
+    while (!text.endsWith("\r\n\r\n")) {
+        val byte = input.read()
+        if (byte < 0) return null
+        text.append(byte.toChar())
+    }
+    return text.toString().trimEnd().split("\r\n")
+}
+
+internal fun Socket.send(text: String) {
+    getOutputStream().write(text.toByteArray())
+    getOutputStream().flush()
+}
+
+/** Closes the connection so that its peer sees a reset. */
+internal fun Socket.reset() {
+    setSoLinger(true, 0)
+    close()
+}
