Admit for the worst pause of late, and take no success without its signature

Change: capacity goes by the worst growth of pauses of the last seconds; orders are repeated after 100 ms and, where they were lost of late, the held pass lies further ahead; a success needs its signature and the request's id. Answers are logged with their first event and longest pause.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -55,6 +55,8 @@
     val countsAskedAt: Instant = Instant.DISTANT_PAST,
     val plannedAt: Instant = Instant.DISTANT_PAST,
     val nextPolledRank: Int = 0,
+    /** When an order last got no answer. */
+    val orderLostAt: Instant = Instant.DISTANT_PAST,
     /** Whether every rank has refused to be armed by earlier orders since the last arming. */
     val isUndone: Boolean = false,
     /** Whether a rank refused the fencing number, so that nothing may be ordered any more. */
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -121,7 +121,9 @@
 private fun GroupKeeper.stepAhead(now: Instant): Long {
     val latest = reports.values.maxBy { it.report.step }
     val age = now - latest.at + USUAL_LAG
-    return latest.report.step + (age / passes.passTime).toLong() + 1
+    val areOrdersLost = now - orderLostAt < LOSS_MEMORY
+    val lead = if (areOrdersLost) (REPEATS_TIME / passes.passTime).toLong() else 0
+    return latest.report.step + (age / passes.passTime).toLong() + 1 + lead
 }
 
 private fun GroupKeeper.concludeSwitch(
@@ -192,8 +194,8 @@
         OrderOutcome.BEGUN -> logged
         OrderOutcome.CONFLICT -> logged.then { it.onConflict(event, now) }
         OrderOutcome.FENCED -> logged.map { it.copy(isFenced = true) }
-        // Repeated at the next tick, while it is still wanted.
-        OrderOutcome.NO_ANSWER -> logged
+        // Repeated at a later tick, while it is still wanted.
+        OrderOutcome.NO_ANSWER -> logged.map { it.copy(orderLostAt = now) }
     }
 }
 
@@ -409,11 +411,17 @@
 /** A report is usually at least this old. */
 private val USUAL_LAG = 150.milliseconds
 
+/** For this long after an order got no answer, others are expected to get none either. */
+private val LOSS_MEMORY = 5.seconds
+
+/** Time for orders to be repeated before the held pass is reached, so that the group goes on. */
+private val REPEATS_TIME = 400.milliseconds
+
 /** Passes that are tried when the one to hold had begun already. */
 private const val MAX_HOLD_TRIES = 20
 
 /** An order without an answer is given again after this time. */
-private val ORDER_INTERVAL = 250.milliseconds
+private val ORDER_INTERVAL = 100.milliseconds
 private val PREPARE_INTERVAL = 100.milliseconds
 private val SURVEY_INTERVAL = 150.milliseconds
 
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
@@ -62,10 +62,10 @@
 }
 
 /** Copies are priced; below this a layer is left alone, as the demand changes within seconds. */
-private const val TRIGGER_SLOWNESS = 1.2
+private const val TRIGGER_SLOWNESS = 1.3
 
 /** A changed layer is improved up to here. */
-private const val GOAL_SLOWNESS = 1.08
+private const val GOAL_SLOWNESS = 1.06
 
 /** Keeps the planner's bound on copies above what [PlacementSettings.maxLoadsPerRank] allows. */
 private const val MANY = 1_000_000L
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -30,7 +30,7 @@
     val usable = upstreamsOf(service).filter { isInService(it) && it.isUsable(context.now) }
     val slots = usable.sumOf { it.record.slots }
     val others = usable.sumOf { it.othersOutstanding }
-    val places = placesAtPace(service, slots, usable.sumOf { it.totalOutstanding }, context.now)
+    val places = placesAtPace(service, slots)
     val share = ceil(places.toDouble() / entryCount * GUARANTEED_SHARE).toInt()
     return maxOf(places - others, share)
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -49,8 +49,15 @@
         GatewayEvent
 
     /** The last bytes of the answer went to the caller. */
-    public data class AnswerEnded(val requestId: RequestId, val attempt: Int, val status: Int) :
-        GatewayEvent
+    public data class AnswerEnded(
+        val requestId: RequestId,
+        val attempt: Int,
+        val status: Int,
+        /** Time from the sending of a stream's attempt to its first event. */
+        val firstEvent: Duration? = null,
+        /** Longest time between two events of the attempt. */
+        val longestPause: Duration? = null
+    ) : GatewayEvent
 
     /** The attempt ended without a whole answer, and may have run. */
     public data class AttemptLost(
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -119,6 +119,9 @@
         "upstream" to open.sent.upstream,
         "status" to event.status,
         "attempts" to call.attemptsSent,
+        "waited_ms" to (open.sent.sentAt - call.request.arrivedAt).inWholeMilliseconds,
+        "first_event_ms" to event.firstEvent?.inWholeMilliseconds,
+        "longest_pause_ms" to event.longestPause?.inWholeMilliseconds,
         "age_ms" to (context.now - call.request.arrivedAt).inWholeMilliseconds
     )
     val cleared = copy(quarantine = quarantine.answered(call.fingerprint, context.now))
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -294,7 +294,7 @@
         val PAUSE_INTERVAL = 200.milliseconds
 
         /** The slower pauses count, since one long pause makes an answer late. */
-        const val PAUSE_QUANTILE = 0.7
+        const val PAUSE_QUANTILE = 0.9
 
         /** Silence below this is never of interest. */
         val SILENCE_STEP: Duration = 300.milliseconds
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/HeaderNames.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/HeaderNames.kt
@@ -11,6 +11,7 @@
  * @property requestPriority rank of the request at an engine.
  * @property notRun present on answers of upstreams that did not run the request.
  * @property engineLoad running requests, waiting requests and slots of the answering engine.
+ * @property signature present on each answer that an upstream made.
  * @property lastEventId id of the last event that the caller has of a stream.
  */
 public data class HeaderNames(
@@ -22,5 +23,6 @@
     val requestPriority: String,
     val notRun: String,
     val engineLoad: String,
+    val signature: String,
     val lastEventId: String
 )
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -56,6 +56,9 @@
     private var mode = AnswerMode.HELD
     private var heldBytes = Unpooled.compositeBuffer(MAX_HELD_PARTS)
     private val events = EventSplitter()
+    private var startedAt: Instant = context.clock.now()
+    private var firstEvent: Duration? = null
+    private var longestPause: Duration? = null
     private var lastEventAt: Instant? = null
     private var isOver = false
     private var lastProgressAt: Instant = context.clock.now()
@@ -120,7 +123,7 @@
         head = response
         mode =
             if (isStream && response.status().code() == OK) AnswerMode.EVENTS else AnswerMode.HELD
-        if (response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
+        if (isSpoilt(response)) {
             fail(AttemptFailure.GARBLED)
             return
         }
@@ -136,6 +139,15 @@
         }
     }
 
+    /** Whether [response] cannot be what the upstream meant to answer. */
+    private fun isSpoilt(response: HttpResponse): Boolean {
+        val headers = response.headers()
+        val isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS
+        val isSigned = headers.contains(context.headers.signature) &&
+            headers.contains(context.headers.attemptId)
+        return headers.contains(HttpHeaderNames.CONTENT_ENCODING) || (isSuccess && !isSigned)
+    }
+
     /** Whether [response] answers an earlier request, whose answer was late or came twice. */
     private fun isAnotherRequests(response: HttpResponse): Boolean {
         val sent = exchange.message.headers[context.headers.attemptId]
@@ -180,13 +192,24 @@
         }
         if (whole == null) return
         val now = context.clock.now()
-        lastEventAt?.let { context.notePause(target.key, now - it) }
-        lastEventAt = now
+        notePause(now)
         begin(response)
         events.lastEventId?.let { exchange.lastEventId = it }
         exchange.connection.write(whole)
     }
 
+    private fun notePause(now: Instant) {
+        val before = lastEventAt
+        if (before == null) {
+            firstEvent = now - startedAt
+        } else {
+            val pause = now - before
+            longestPause = maxOf(pause, longestPause ?: pause)
+            context.notePause(target.key, pause)
+        }
+        lastEventAt = now
+    }
+
     private fun hold(response: HttpResponse, content: ByteBuf) {
         if (heldBytes.readableBytes() + content.readableBytes() <= MAX_HELD_BYTES) {
             heldBytes.addComponent(true, content.retain())
@@ -230,7 +253,9 @@
                 if (events.restBytes > 0) exchange.connection.write(events.takeRest())
                 exchange.connection.end()
                 endAndKeep(response)
-                context.emit(GatewayEvent.AnswerEnded(exchange.id, number, status))
+                context.emit(
+                    GatewayEvent.AnswerEnded(exchange.id, number, status, firstEvent, longestPause)
+                )
             }
         }
     }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
@@ -41,6 +41,7 @@
     requestPriority = "X-Priority",
     notRun = "X-Not-Run",
     engineLoad = "X-Load",
+    signature = "X-Stamp",
     lastEventId = "Last-Event-Id"
 )
 
