Hold the gateway to its pages and add explain

Cause: the gateway's events, metrics and settings were not on the pages, and a request's story had to be put together by hand.

Change: explain prints one request's story from the logs of all entries; pages and tests for events, metrics, settings, rows; a reducer test and GatewayFuzz; at most two copies a rank and change, pauses fade within 7 s.

--- /dev/null
+++ b/cli/src/main/kotlin/org/shallotplank/cli/ExplainCommand.kt
@@ -0,0 +1,34 @@
+package org.shallotplank.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.multiple
+import com.github.ajalt.clikt.parameters.types.path
+import java.nio.file.Path
+import kotlin.io.path.useLines
+
+/** Prints what the logs say of one request, in order. */
+internal class ExplainCommand : CliktCommand(name = "explain") {
+    private val id by argument(name = "ID", help = "Request id, or the caller's attempt id")
+    private val files by argument(name = "FILE", help = "Log files of gateway entries")
+        .path(mustExist = true, canBeDir = false)
+        .multiple(required = true)
+
+    override fun help(context: Context): String =
+        "Print the story of one request from the logs of all gateway entries."
+
+    override fun run() {
+        val story = RequestStory.read(id, files.map { LogFile(it.toString(), it) })
+        if (story.lines.isEmpty()) {
+            fail(ExitStatus.FAILED, "no line of the files names $id")
+        }
+        story.lines.forEach { echo(it) }
+        echo(story.conclusion)
+    }
+
+    /** One log file, read line by line. */
+    private class LogFile(override val name: String, private val path: Path) : LogSource {
+        override fun <T> useLines(block: (Sequence<String>) -> T): T = path.useLines { block(it) }
+    }
+}
--- a/cli/src/main/kotlin/org/shallotplank/cli/Main.kt
+++ b/cli/src/main/kotlin/org/shallotplank/cli/Main.kt
@@ -37,7 +37,8 @@
     RelayCommand(),
     CheckCommand(),
     PublishCommand(),
-    StatusCommand()
+    StatusCommand(),
+    ExplainCommand()
 )
 
 private class ShallotplankCommand : CliktCommand(name = "shallotplank") {
--- a/config/src/test/kotlin/org/shallotplank/config/ReferencePageTest.kt
+++ b/config/src/test/kotlin/org/shallotplank/config/ReferencePageTest.kt
@@ -134,7 +134,12 @@
             referencePage(
                 title = "Settings reference",
                 introduction = SETTINGS_INTRODUCTION,
-                specs = listOf(entrySettingsSpec, agentSettingsSpec, gatewaySettingsSpec, relaySettingsSpec)
+                specs = listOf(
+                    entrySettingsSpec,
+                    agentSettingsSpec,
+                    gatewaySettingsSpec,
+                    relaySettingsSpec
+                )
             )
         )
     }
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -89,7 +89,11 @@
     val passTime: Duration = FIRST_GUESS
 ) {
     internal fun after(reportedStep: Long, now: Instant): PassEstimate {
-        if (reportedStep < step || at == Instant.DISTANT_PAST) return copy(step = reportedStep, at = now)
+        if (reportedStep < step ||
+            at == Instant.DISTANT_PAST
+        ) {
+            return copy(step = reportedStep, at = now)
+        }
         if (now - at < MIN_SPAN) return this
         val passed = reportedStep - step
         val next = copy(step = reportedStep, at = now)
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -4,7 +4,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
-import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
@@ -22,7 +21,10 @@
     GroupKeeperEvent.Tick -> onTick(now)
 }
 
-private fun GroupKeeper.onReported(event: GroupKeeperEvent.Reported, now: Instant): GroupKeeperStep {
+private fun GroupKeeper.onReported(
+    event: GroupKeeperEvent.Reported,
+    now: Instant
+): GroupKeeperStep {
     val report = event.report
     if (report.epoch < epoch) return Step(this)
     if (report.epoch > epoch || !report.isOpen) return startAnew(report.epoch, now)
@@ -222,7 +224,11 @@
             val isHeld = next.heldAgain.size == present.stepByHeldRank.size
             if (isHeld) enter(next, now) else Step(copy(stage = next))
         }
-        present is KeeperStage.Undoing && order is RankOrder.Disarm -> onDisarmed(present, rank, now)
+        present is KeeperStage.Undoing && order is RankOrder.Disarm -> onDisarmed(
+            present,
+            rank,
+            now
+        )
         present is KeeperStage.LettingGo && order is RankOrder.Release -> {
             val left = present.stepByRank.remove(rank)
             if (left.isEmpty()) {
@@ -430,4 +436,3 @@
 
 /** Copies that take longer than this have failed. */
 private val PREPARE_TIMEOUT = 20.seconds
-
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/StreamPace.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/StreamPace.kt
@@ -24,8 +24,8 @@
     }
 
     private companion object {
-        /** Several changes of demand fall into this time where demand changes every few seconds. */
-        val FADE_TIME = 15.seconds
+        /** Two changes of demand fall into this time where demand changes every few seconds. */
+        val FADE_TIME = 7.seconds
     }
 }
 
--- /dev/null
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayFuzz.kt
@@ -0,0 +1,213 @@
+package org.shallotplank.core.gateway
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import org.junit.jupiter.api.Nested
+import org.shallotplank.core.RequestId
+import org.shallotplank.core.ZoneName
+
+/** Random events against an entry, with an oracle of what ran, what was said, and how often. */
+class GatewayFuzz {
+    @Nested
+    inner class AnEntry {
+        @Test
+        fun `keeps its promises whatever happens in which order`() {
+            for (seed in 1L..SEEDS) {
+                try {
+                    GatewayWorld(seed).play()
+                } catch (e: AssertionError) {
+                    throw AssertionError("seed $seed: ${e.message}", e)
+                }
+            }
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 200L
+    }
+}
+
+private const val COLD_RATE = 12.0
+private const val ENTRIES = 3
+private const val RETRY_SLACK = 12
+
+/** One seeded run; checks each effect as it comes. */
+private class GatewayWorld(seed: Long) {
+    private val random = Random(seed)
+    private var now = startOfTest
+    private var state = GatewayState(testSettings(RETRY_SLACK))
+    private val open = HashMap<RequestId, Attempt>()
+    private val asked = HashMap<RequestId, Request>()
+    private val sendTimes = HashMap<UpstreamKey, MutableList<Instant>>()
+    private val firstTimes = mutableListOf<Instant>()
+    private val repeatTimes = mutableListOf<Instant>()
+    private var nextId = 0
+    private var leaving = setOf<String>()
+    private var outOfService = setOf<ZoneName>()
+
+    private class Request(val kind: RequestKind) {
+        var sends = 0
+        var mayHaveRun = false
+        var isEnded = false
+    }
+
+    private class Attempt(val send: GatewayEffect.Send)
+
+    fun play() {
+        emit(GatewayEvent.RoutesAccepted(testTable(coldRate = COLD_RATE)))
+        list()
+        emit(GatewayEvent.ReadinessChanged(isReady = true))
+        emit(GatewayEvent.PeersReported(ENTRIES, persistentMapOf()))
+        repeat(600) { step() }
+        now += 20.seconds
+        emit(GatewayEvent.Tick)
+        assertEquals(0, asked.values.count { !it.isEnded }, "requests without an end")
+        assertTrue(state.upstreams.values.all { it.outstanding == 0 }, "attempts left over")
+    }
+
+    private fun step() {
+        now += random.nextInt(60).milliseconds
+        when (random.nextInt(12)) {
+            in 0..3 -> arrive()
+            in 4..8 -> open.values.randomOrNull(random)?.let { finish(it) }
+            9 -> emit(GatewayEvent.Tick)
+            10 -> if (random.nextInt(5) == 0) change()
+            else -> asked.entries.filter { !it.value.isEnded }.randomOrNull(random)?.let {
+                if (random.nextInt(4) == 0) leave(it.key)
+            }
+        }
+    }
+
+    private fun arrive() {
+        val kind = RequestKind.entries.random(random)
+        val id = "r${nextId++}"
+        asked[RequestId(id)] = Request(kind)
+        firstTimes += now
+        emit(arrival(id, kind, now))
+    }
+
+    private fun leave(id: RequestId) {
+        asked.getValue(id).isEnded = true
+        emit(GatewayEvent.CallerLeft(id))
+        open.remove(id)
+    }
+
+    private fun change() {
+        when (random.nextInt(3)) {
+            0 -> {
+                leaving = setOf("u0", "u1", "u2").filter { random.nextInt(4) == 0 }.toSet()
+                list()
+            }
+            1 -> {
+                outOfService = listOf("a", "b").filter { random.nextInt(4) == 0 }
+                    .map { ZoneName(it) }.toSet()
+                emit(
+                    GatewayEvent.EvacuationsChanged(
+                        persistentSetOf<ZoneName>().addAll(outOfService)
+                    )
+                )
+            }
+            else -> state.upstreams.keys.randomOrNull(random)
+                ?.let { emit(GatewayEvent.UpstreamCrashed(it)) }
+        }
+    }
+
+    private fun list() {
+        val listed = (0..2).map { index ->
+            val entry = listedUpstream("u$index", zone = if (index == 0) "a" else "b")
+            entry.copy(record = entry.record.copy(isLeaving = "u$index" in leaving))
+        }
+        emit(GatewayEvent.UpstreamsListed(listed.toPersistentList()))
+    }
+
+    private fun finish(attempt: Attempt) {
+        val send = attempt.send
+        val request = asked.getValue(send.requestId)
+        val outcome = random.nextInt(7)
+        if (outcome in 2..6) request.mayHaveRun = true
+        open.remove(send.requestId)
+        when (outcome) {
+            0 -> emit(
+                GatewayEvent.ConnectFailed(send.requestId, send.attempt, ConnectFailure.REFUSED)
+            )
+            1 -> emit(GatewayEvent.NotRun(send.requestId, send.attempt, 503, isMisdirected = false))
+            2 -> emit(
+                GatewayEvent.AttemptLost(
+                    send.requestId,
+                    send.attempt,
+                    AttemptFailure.entries.random(random)
+                )
+            )
+            3 -> emit(GatewayEvent.AnswerHeld(send.requestId, send.attempt, 500))
+            else -> answer(send)
+        }
+    }
+
+    private fun answer(send: GatewayEffect.Send) {
+        asked.getValue(send.requestId).isEnded = true
+        emit(GatewayEvent.AnswerEnded(send.requestId, send.attempt, 200))
+    }
+
+    private fun emit(event: GatewayEvent) {
+        val step = state.on(event, now, random)
+        state = step.state
+        step.effects.forEach(::check)
+    }
+
+    private fun check(effect: GatewayEffect) {
+        when (effect) {
+            is GatewayEffect.Send -> onSend(effect)
+            is GatewayEffect.Withdraw -> {
+                val isOpen = open.remove(effect.requestId) != null
+                if (isOpen) asked.getValue(effect.requestId).mayHaveRun = true
+            }
+            is GatewayEffect.Refuse -> onRefuse(effect)
+            is GatewayEffect.Cut -> asked.getValue(effect.requestId).isEnded = true
+            is GatewayEffect.DeliverHeld -> {
+                val phase = state.calls[effect.requestId]?.phase as? GatewayPhase.Sent
+                val attempt = checkNotNull(phase).attempt
+                asked.getValue(effect.requestId).isEnded = true
+                emit(GatewayEvent.AnswerEnded(effect.requestId, attempt, 500))
+            }
+            else -> Unit
+        }
+    }
+
+    private fun onSend(send: GatewayEffect.Send) {
+        val request = asked.getValue(send.requestId)
+        assertTrue(!request.isEnded, "sent after its end")
+        assertTrue(
+            !request.mayHaveRun || request.kind != RequestKind.UNSAFE,
+            "${send.requestId} may run once and is sent again"
+        )
+        val upstream = state.upstreams.getValue(send.upstream).record
+        assertTrue(!upstream.isLeaving && upstream.zone !in outOfService, "sent to $upstream")
+        val times = sendTimes.getOrPut(send.upstream) { mutableListOf() }
+        times += now
+        val inSecond = times.count { now - it < 1.seconds }
+        assertTrue(inSecond <= COLD_RATE / ENTRIES, "$inSecond requests in a second")
+        if (request.sends++ > 0) onRepeat()
+        open[send.requestId] = Attempt(send)
+    }
+
+    /** Sends after failed connections are counted as well, though nothing arrived before. */
+    private fun onRepeat() {
+        repeatTimes += now
+    }
+
+    private fun onRefuse(refuse: GatewayEffect.Refuse) {
+        val request = asked.getValue(refuse.requestId)
+        assertTrue(!request.isEnded, "refused after its end")
+        request.isEnded = true
+        val isPromise = refuse.status == 503
+        assertTrue(!isPromise || !request.mayHaveRun, "${refuse.requestId} is said not to have run")
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
@@ -0,0 +1,230 @@
+package org.shallotplank.core.gateway
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import org.junit.jupiter.api.Nested
+import org.shallotplank.core.InstanceId
+import org.shallotplank.core.RequestId
+import org.shallotplank.core.ZoneName
+
+class GatewayReducerTest {
+    private val random = Random(1)
+    private var now = startOfTest
+    private var state = GatewayState(testSettings())
+
+    private fun emit(event: GatewayEvent): List<GatewayEffect> {
+        val step = state.on(event, now, random)
+        state = step.state
+        return step.effects.filter { it !is GatewayEffect.Log }
+    }
+
+    private fun serve(vararg upstreams: ListedUpstream, table: RouteTable = testTable()) {
+        emit(GatewayEvent.RoutesAccepted(table))
+        emit(GatewayEvent.UpstreamsListed(upstreams.toList().toPersistentList()))
+        emit(GatewayEvent.ReadinessChanged(isReady = true))
+    }
+
+    private fun arrive(id: String, kind: RequestKind = RequestKind.SAFE): GatewayEffect =
+        emit(arrival(id, kind, now)).single()
+
+    private fun sent(id: String, kind: RequestKind = RequestKind.SAFE): GatewayEffect.Send =
+        assertIs<GatewayEffect.Send>(arrive(id, kind))
+
+    @Nested
+    inner class AnUnconfiguredEntry {
+        @Test
+        fun `refuses with a time to come back`() {
+            val refusal = assertIs<GatewayEffect.Refuse>(arrive("1"))
+            assertEquals(503, refusal.status)
+            assertNotNull(refusal.retryAfter)
+        }
+    }
+
+    @Nested
+    inner class Configurations {
+        @Test
+        fun `are chosen by the longest prefix`() {
+            val table = testTable(
+                routes = listOf(
+                    testRoute(RequestKind.SAFE, "/a/"),
+                    testRoute(RequestKind.UNSAFE, "/a/b/")
+                )
+            )
+            assertEquals(RequestKind.UNSAFE, table.match("H", "/a/b/c")?.kind)
+            assertEquals(RequestKind.SAFE, table.match("h", "/a/bc")?.kind)
+            assertNull(table.match("h", "/ab/"))
+        }
+
+        @Test
+        fun `never revert`() {
+            serve(listedUpstream("u"), table = testTable(version = 5))
+            emit(GatewayEvent.RoutesAccepted(testTable(version = 4, routes = emptyList())))
+            assertEquals(5, state.routes?.version?.value)
+        }
+    }
+
+    @Nested
+    inner class Zones {
+        @Test
+        fun `that are out of service get nothing`() {
+            serve(listedUpstream("u", zone = "a"), listedUpstream("v", zone = "b"))
+            emit(GatewayEvent.EvacuationsChanged(persistentSetOf(ZoneName("a"))))
+            repeat(4) { assertEquals(InstanceId("v"), sent("$it").upstream.id) }
+        }
+
+        @Test
+        fun `that are all out of service refuse at once`() {
+            serve(listedUpstream("u", zone = "a"))
+            emit(GatewayEvent.EvacuationsChanged(persistentSetOf(ZoneName("a"))))
+            assertEquals(503, assertIs<GatewayEffect.Refuse>(arrive("1")).status)
+        }
+    }
+
+    @Nested
+    inner class LeavingUpstreams {
+        @Test
+        fun `get nothing new`() {
+            val leaving = listedUpstream("u")
+            serve(leaving, listedUpstream("v", zone = "far"))
+            val gone = leaving.copy(record = leaving.record.copy(isLeaving = true))
+            emit(GatewayEvent.UpstreamsListed(persistentListOf(gone, listedUpstream("v"))))
+            repeat(4) { assertEquals(InstanceId("v"), sent("$it").upstream.id) }
+        }
+
+        @Test
+        fun `whose address another process has are left out until it changes`() {
+            serve(listedUpstream("u"), listedUpstream("v", zone = "far"))
+            val first = sent("1")
+            assertEquals(InstanceId("u"), first.upstream.id)
+            emit(GatewayEvent.NotRun(first.requestId, first.attempt, 421, isMisdirected = true))
+            repeat(3) { assertEquals(InstanceId("v"), sent("more$it").upstream.id) }
+        }
+    }
+
+    @Nested
+    inner class ColdUpstreams {
+        @Test
+        fun `get no more in any second than their share of what they bear`() {
+            serve(listedUpstream("u", slots = 100), table = testTable(coldRate = 12.0))
+            emit(GatewayEvent.PeersReported(entryCount = 4, persistentMapOf()))
+            val outcomes = List(10) { arrive("$it") }
+            assertEquals(3, outcomes.count { it is GatewayEffect.Send })
+            now += 1.seconds
+            assertIs<GatewayEffect.Send>(arrive("later"))
+        }
+    }
+
+    @Nested
+    inner class RequestsThatCrashUpstreams {
+        @Test
+        fun `are refused after two crashes`() {
+            serve(listedUpstream("u"), listedUpstream("v"), listedUpstream("w"))
+            repeat(2) { crash("r$it") }
+            val refusal = assertIs<GatewayEffect.Refuse>(poison("r3"))
+            assertEquals(GatewayRefusal.QUARANTINED, refusal.reason)
+        }
+
+        private fun crash(id: String) {
+            val send = assertIs<GatewayEffect.Send>(poison(id))
+            emit(lost(send))
+            emit(GatewayEvent.UpstreamCrashed(send.upstream))
+            now += 100.milliseconds
+        }
+
+        private fun poison(id: String): GatewayEffect =
+            emit(arrival(id, RequestKind.UNSAFE, now, digest = "poison")).single()
+    }
+
+    @Nested
+    inner class SilentUpstreams {
+        @Test
+        fun `are given up while others answer, and not when all stand still`() {
+            serve(listedUpstream("u"), listedUpstream("v"))
+            val hung = sent("1", RequestKind.STREAM)
+            now += 800.milliseconds
+            val silence = GatewayEvent.AttemptSilent(hung.requestId, hung.attempt, 800.milliseconds)
+            assertEquals(emptyList(), emit(silence))
+            val other = sent("2", RequestKind.STREAM)
+            emit(GatewayEvent.HeadReceived(other.requestId, other.attempt, 200, load = null))
+            val effects = emit(silence)
+            assertIs<GatewayEffect.Withdraw>(effects.first())
+            assertIs<GatewayEffect.Send>(effects.last())
+        }
+    }
+
+    @Nested
+    inner class Overload {
+        private val engine = EngineProfile(
+            slots = 4,
+            eventStride = 4,
+            stepTime = 5.milliseconds,
+            stepTimePerRequest = 1.milliseconds
+        )
+
+        @Test
+        fun `lets requests wait for a place and refuses those that would wait too long`() {
+            serve(listedUpstream("u", slots = 2))
+            val first = List(2) { sent("$it") }
+            assertEquals(emptyList(), emit(arrival("waiting", RequestKind.SAFE, now)))
+            val released = emit(answered(first.first()))
+            assertEquals(
+                RequestId("waiting"),
+                assertIs<GatewayEffect.Send>(released.last()).requestId
+            )
+            emit(arrival("late", RequestKind.SAFE, now))
+            now += 1.seconds
+            val refusal = assertIs<GatewayEffect.Refuse>(emit(GatewayEvent.Tick).single())
+            assertEquals(RequestId("late"), refusal.requestId)
+            assertNotNull(refusal.retryAfter)
+        }
+
+        @Test
+        fun `of engines shows in long pauses, after which fewer requests run`() {
+            serve(listedUpstream("u", slots = 20), table = testTable(engine = engine))
+            repeat(20) { sent("$it", RequestKind.STREAM) }
+            observe(200.milliseconds)
+            val places = state.placesAtPace(testService, slots = 20)
+            assertTrue(places in 8..12, "$places places")
+        }
+
+        @Test
+        fun `that came once is remembered for a while and then forgotten`() {
+            serve(listedUpstream("u", slots = 20), table = testTable(engine = engine))
+            repeat(20) { sent("$it", RequestKind.STREAM) }
+            observe(200.milliseconds)
+            now += 2.seconds
+            observe(60.milliseconds)
+            assertTrue(state.placesAtPace(testService, slots = 20) < 16)
+            repeat(40) {
+                now += 1.seconds
+                observe(60.milliseconds)
+            }
+            assertEquals(20, state.placesAtPace(testService, slots = 20))
+        }
+
+        private fun observe(pause: Duration) {
+            emit(GatewayEvent.PausesObserved(persistentMapOf(testService to pause)))
+        }
+    }
+
+    private fun lost(send: GatewayEffect.Send) = GatewayEvent.AttemptLost(
+        send.requestId,
+        send.attempt,
+        AttemptFailure.CONNECTION_LOST
+    )
+
+    private fun answered(send: GatewayEffect.Send) =
+        GatewayEvent.AnswerEnded(send.requestId, send.attempt, status = 200)
+}
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -7,8 +7,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
-import org.shallotplank.config.GatewayEntrySettings
 import kotlinx.collections.immutable.toPersistentMap
+import org.shallotplank.config.GatewayEntrySettings
 import org.shallotplank.core.RequestId
 import org.shallotplank.core.ServiceName
 import org.shallotplank.core.gateway.CallerLimits
@@ -157,7 +157,10 @@
             host = message.headers["Host"].orEmpty().substringBefore(':'),
             path = message.uri,
             credential = message.headers[headers.credential],
-            timeLeft = message.headers[headers.timeLeftMillis]?.trim()?.toLongOrNull()?.milliseconds,
+            timeLeft = message.headers[headers.timeLeftMillis]
+                ?.trim()
+                ?.toLongOrNull()
+                ?.milliseconds,
             bodySha256 = digestOf(message),
             arrivedAt = now
         )
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
@@ -20,8 +20,7 @@
     private val group: EventLoopGroup,
     private val metrics: GatewayMetrics,
     private val beliefs: GatewayBeliefs,
-    private val exchanges: GatewayExchanges,
-    private val environment: GatewayEnvironment
+    private val exchanges: GatewayExchanges
 ) {
     /** Starts to listen; throws [java.io.IOException] if an address cannot be had. */
     fun start() {
@@ -30,6 +29,9 @@
         HttpEndpoint(group, settings.peerAddress, ::peer).start()
         val metricsAddress = settings.listenAddress.copy(port = settings.metricsPort)
         HttpEndpoint(group, metricsAddress, ::metrics).start()
+        metrics.gauge(GatewayMetric.STORE_AGE) {
+            beliefs.storeAge.toDouble(DurationUnit.SECONDS)
+        }
     }
 
     private fun readiness(request: EndpointRequest): HttpReply = when {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
@@ -79,7 +79,7 @@
         log = ::log
     )
     private val interfaces =
-        GatewayInterfaces(settings, directory, group, metrics, beliefs, exchanges, environment)
+        GatewayInterfaces(settings, directory, group, metrics, beliefs, exchanges)
     private var lastTickAt: Instant = clock.now()
 
     /** Starts to listen and to follow the store. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -78,7 +78,13 @@
         val candidates = around.candidates()
         when {
             isOwn && keeper?.state?.isFenced != true ->
-                if (around.own in candidates || !isSettled) keep(name, group, lease) else running.remove(name)
+                if (around.own in candidates ||
+                    !isSettled
+                ) {
+                    keep(name, group, lease)
+                } else {
+                    running.remove(name)
+                }
             isOwn -> claim(name, lease, row.version, now)
             else -> {
                 running.remove(name)
@@ -168,10 +174,7 @@
         null
     }
 
-    private class KnownGroup(
-        val ranks: Map<Int, RankAddress>,
-        val placement: PlacementProfile
-    )
+    private class KnownGroup(val ranks: Map<Int, RankAddress>, val placement: PlacementProfile)
 
     internal companion object {
         /** Rows of leases begin with this in the entries' table. */
@@ -185,7 +188,7 @@
             sampledRanks = ranks.coerceAtMost(MAX_SAMPLES),
             countInterval = COUNT_INTERVAL,
             popularityHalfLife = POPULARITY_HALF_LIFE,
-            maxLoadsPerRank = placement.spareSlots.coerceAtLeast(1),
+            maxLoadsPerRank = placement.spareSlots.coerceIn(1, MAX_LOADS_PER_RANK),
             minGain = MIN_GAIN
         )
 
@@ -196,5 +199,8 @@
         private val COUNT_INTERVAL = 250.milliseconds
         private val POPULARITY_HALF_LIFE = 400.milliseconds
         private const val MIN_GAIN = 0.05
+
+        /** Ranks copy one expert after the other, and the change waits for the last of them. */
+        private const val MAX_LOADS_PER_RANK = 2
     }
 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
@@ -152,7 +152,11 @@
                 }
             }
             val gateway = gateway(upstream, maxAttempts = 1)
-            assertContains(gateway.exchange(request("safe")), "content-length: 4\r\n", ignoreCase = true)
+            assertContains(
+                gateway.exchange(request("safe")),
+                "content-length: 4\r\n",
+                ignoreCase = true
+            )
             assertContains(gateway.exchange(request("safe")), "502 Bad Gateway")
         }
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/UpstreamBeliefTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/UpstreamBeliefTest.kt
@@ -73,7 +73,10 @@
         fun `name no upstream and are logged once`() {
             repeat(2) {
                 replica.replace(
-                    TableContents(listOf(StoreRow("a", "good", 1), StoreRow("x", "bad", 2)), ++version)
+                    TableContents(
+                        listOf(StoreRow("a", "good", 1), StoreRow("x", "bad", 2)),
+                        ++version
+                    )
                 )
                 belief.update(replica, Instant.DISTANT_PAST, start)
             }
--- a/runtime/src/test/kotlin/org/shallotplank/runtime/log/LogCatalogueTest.kt
+++ b/runtime/src/test/kotlin/org/shallotplank/runtime/log/LogCatalogueTest.kt
@@ -43,7 +43,12 @@
 
 /** Names of the fields that the sources pass to `logRecord`, by event. */
 private val loggedFields: Map<String, Set<String>> by lazy {
-    val calls = listOf("../core/src/main", "src/main")
+    val calls = listOf(
+        "../core/src/main",
+        "../gateway/src/main",
+        "../platform/src/main",
+        "src/main"
+    )
         .flatMap { Path.of(it).walk() }
         .filter { it.extension == "kt" }
         .flatMap { file -> loggedCalls(file.readText()) }
