--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
@@ -311,11 +311,14 @@
     }
 
     private companion object {
-        /** Longest call for changes; a connection that went silent is given up soon after it. */
-        val OPERATOR_WAIT = 1_200.milliseconds
-        val UPSTREAM_WAIT = 1_000.milliseconds
+        /**
+         * Longest calls for changes; a connection that went silent is given up soon after, while a
+         * change has to be in force within two seconds and three more after a silence.
+         */
+        val OPERATOR_WAIT = 1_600.milliseconds
+        val UPSTREAM_WAIT = 1_600.milliseconds
         val UPSTREAM_PAUSE = 300.milliseconds
-        val ENTRY_WAIT = 2_500.milliseconds
+        val ENTRY_WAIT = 4_000.milliseconds
         val ENTRY_PAUSE = 500.milliseconds
 
         /** Several reports of an entry fit in; see [Peers]. */
