--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperStages.kt
@@ -0,0 +1,83 @@
+package org.shallotplank.core.expertmap
+
+import kotlin.time.Instant
+import kotlinx.collections.immutable.toPersistentList
+import org.shallotplank.core.Step
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.logRecord
+
+/** Enters [next] and gives the orders or asks the questions that it begins with. */
+internal fun GroupKeeper.enter(next: KeeperStage, now: Instant): GroupKeeperStep {
+    val record = logRecord(
+        LogEvent.GROUP_STAGE,
+        "group" to group,
+        "epoch" to epoch,
+        "fence" to fence,
+        "stage" to next::class.simpleName,
+        "detail" to next.detail()
+    )
+    val entered = copy(stage = next)
+    val log: GroupKeeperEffect = GroupKeeperEffect.Log(record)
+    return Step(
+        entered.copy(reportsAskedAt = now),
+        (listOf(log) + entered.wanted()).toPersistentList()
+    )
+}
+
+private fun KeeperStage.detail(): String? = when (this) {
+    is KeeperStage.Preparing -> "version $version"
+    is KeeperStage.Holding -> "version $version step $step"
+    is KeeperStage.Arming -> "version $version step $step"
+    is KeeperStage.Releasing -> "version $version step $step"
+    is KeeperStage.Switching -> "version $version step $step"
+    is KeeperStage.Undoing -> "held ranks ${stepByHeldRank.keys.joinToString(",")}"
+    is KeeperStage.LettingGo -> "held ranks ${stepByRank.keys.joinToString(",")}"
+    else -> null
+}
+
+internal fun RankOrder.summary(): String = when (this) {
+    is RankOrder.Prepare -> "prepare $version"
+    is RankOrder.Arm -> "arm $version at $step"
+    is RankOrder.Disarm -> "disarm $version"
+    is RankOrder.Hold -> "hold $step"
+    is RankOrder.Release -> "release $step"
+}
+
+internal fun GroupKeeper.stageName(): String = stage::class.simpleName.orEmpty()
+
+/** What the present stage still waits for. */
+internal fun GroupKeeper.wanted(): List<GroupKeeperEffect> = when (val present = stage) {
+    is KeeperStage.Surveying -> allRanks.map { GroupKeeperEffect.ReadReport(it) }
+    is KeeperStage.ReadingMap ->
+        allRanks.filter { it !in present.known }.map { GroupKeeperEffect.ReadMap(it) }
+    is KeeperStage.Settled -> emptyList()
+    is KeeperStage.Preparing -> {
+        val order = RankOrder.Prepare(present.version, present.map)
+        allRanks.filter { it !in present.prepared }.map { give(it, order) }
+    }
+    is KeeperStage.Holding -> listOf(give(HOLDING_RANK, RankOrder.Hold(present.step)))
+    is KeeperStage.Arming -> {
+        val order = RankOrder.Arm(present.version, present.step)
+        allRanks.filter { it !in present.armed }.map { give(it, order) }
+    }
+    is KeeperStage.Releasing -> listOf(give(HOLDING_RANK, RankOrder.Release(present.step)))
+    // All ranks are armed, so that one of them tells for all.
+    is KeeperStage.Switching -> listOf(GroupKeeperEffect.ReadReport(HOLDING_RANK))
+    is KeeperStage.Undoing -> {
+        val open = present.stepByHeldRank.filterKeys { it !in present.heldAgain }
+        if (open.isNotEmpty()) {
+            open.map { (rank, step) -> give(rank, RankOrder.Hold(step)) }
+        } else {
+            allRanks.filter { it !in present.disarmed }
+                .map { give(it, RankOrder.Disarm(present.versionByRank.getValue(it))) }
+        }
+    }
+    is KeeperStage.LettingGo ->
+        present.stepByRank.map { (rank, step) -> give(rank, RankOrder.Release(step)) }
+}
+
+private fun GroupKeeper.give(rank: Int, order: RankOrder): GroupKeeperEffect =
+    GroupKeeperEffect.Give(rank, order, epoch, fence)
+
+/** Rank at which the group is held; any would do, as all ranks begin each pass together. */
+internal const val HOLDING_RANK = 0
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayBeliefs.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayBeliefs.kt
@@ -32,7 +32,8 @@
     listed: PersistentList<ListedUpstream>,
     context: GatewayContext
 ): GatewayStep {
-    val present = listed.associateBy { UpstreamKey(it.record.id, it.record.incarnation) }
+    val present = listed.withoutSuperseded()
+        .associateBy { UpstreamKey(it.record.id, it.record.incarnation) }
     val next = upstreams.mutate { map ->
         for ((key, entry) in present) {
             val known = map[key] ?: GatewayUpstream(entry.record)
@@ -65,6 +66,17 @@
         .then { it.resizeQueues(context) }
 }
 
+/**
+ * Leaves out the upstreams at whose address another one started later.
+ *
+ * Their processes ended, and their rows stay until they lapse.
+ */
+private fun List<ListedUpstream>.withoutSuperseded(): List<ListedUpstream> {
+    val latest = groupingBy { it.record.address }
+        .fold(0L) { latest, entry -> maxOf(latest, entry.record.incarnation) }
+    return filter { it.record.incarnation >= (latest[it.record.address] ?: 0) }
+}
+
 private fun changeOf(before: GatewayUpstream?, after: GatewayUpstream?): String? = when {
     before == null && after != null -> "added"
     before != null && after == null -> "removed"
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayFixture.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayFixture.kt
@@ -50,12 +50,18 @@
     )
 )
 
-internal fun listedUpstream(name: String, zone: String = "a", slots: Int = 4) = ListedUpstream(
+internal fun listedUpstream(
+    name: String,
+    zone: String = "a",
+    slots: Int = 4,
+    address: String = "10.0.0.$name",
+    incarnation: Long = 1
+) = ListedUpstream(
     UpstreamRecord(
         id = InstanceId(name),
-        incarnation = 1,
+        incarnation = incarnation,
         service = testService,
-        address = Address("10.0.0.1", 80),
+        address = Address(address, 80),
         zone = ZoneName(zone),
         slots = slots,
         isLeaving = false
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
@@ -103,6 +103,15 @@
             repeat(4) { assertEquals(InstanceId("v"), sent("$it").upstream.id) }
         }
 
+        @Test
+        fun `at whose address another one started later get nothing`() {
+            serve(
+                listedUpstream("old", address = "10.0.0.1", incarnation = 5),
+                listedUpstream("new", address = "10.0.0.1", incarnation = 9)
+            )
+            repeat(4) { assertEquals(InstanceId("new"), sent("$it").upstream.id) }
+        }
+
         @Test
         fun `whose address another process has are left out until it changes`() {
             serve(listedUpstream("u"), listedUpstream("v", zone = "far"))
