Read addresses and process settings in one place each

Cause: addresses were parsed in three places and two commands were alike; the engines' profile held fields that nothing read.

No behaviour changes.

--- a/cli/src/main/kotlin/org/shallotplank/cli/ProcessCommands.kt
+++ b/cli/src/main/kotlin/org/shallotplank/cli/ProcessCommands.kt
@@ -9,9 +9,17 @@
 import java.nio.file.Path
 import org.shallotplank.config.AgentSettings
 import org.shallotplank.config.EntrySettings
+import org.shallotplank.config.GatewayEntrySettings
 import org.shallotplank.config.Reading
+import org.shallotplank.config.RelaySettings
 import org.shallotplank.config.readAgentSettings
 import org.shallotplank.config.readEntrySettings
+import org.shallotplank.config.readGatewayEntrySettings
+import org.shallotplank.config.readRelaySettings
+import org.shallotplank.platform.SETTINGS_VARIABLE
+import org.shallotplank.platform.runPlatformEntry
+import org.shallotplank.platform.runPlatformRelay
+import org.shallotplank.runtime.log.configureLogging
 import org.shallotplank.runtime.runAgent
 import org.shallotplank.runtime.runEntry
 
@@ -20,12 +28,14 @@
     name: String,
     private val description: String,
     private val read: (Path) -> Reading<T>,
-    private val serve: (T) -> Unit
+    private val serve: (T, Path) -> Unit,
+    settingsVariable: String? = null
 ) : CliktCommand(name = name) {
     private val settings by option(
         "--settings",
         metavar = "FILE",
-        help = "Settings file of the process"
+        help = "Settings file of the process",
+        envvar = settingsVariable
     ).path().required()
 
     override fun help(context: Context): String = description
@@ -33,7 +43,7 @@
     override fun run() {
         val accepted = acceptedOrFail(read(settings), ExitStatus.USAGE)
         try {
-            serve(accepted)
+            serve(accepted, settings)
         } catch (e: IOException) {
             fail(ExitStatus.USAGE, "cannot start: ${e.message}")
         } catch (e: IllegalArgumentException) {
@@ -48,7 +58,7 @@
         name = "entry",
         description = "Run an entry instance, which callers connect to.",
         read = { readEntrySettings(it) },
-        serve = ::runEntry
+        serve = { settings, _ -> runEntry(settings) }
     )
 
 /** Runs the agent beside an upstream. */
@@ -57,5 +67,34 @@
         name = "agent",
         description = "Run the agent beside an upstream.",
         read = { readAgentSettings(it) },
-        serve = ::runAgent
+        serve = { settings, _ -> runAgent(settings) }
     )
+
+/** Runs a gateway entry, which forwards requests straight to upstreams. */
+internal class GatewayCommand :
+    ProcessCommand<GatewayEntrySettings>(
+        name = "gateway",
+        description = "Run a gateway entry, which forwards requests by host and path to upstreams.",
+        read = { readGatewayEntrySettings(it) },
+        serve = { settings, file ->
+            configureLogging(LIBRARY_LEVEL)
+            runPlatformEntry(settings, file)
+        },
+        settingsVariable = SETTINGS_VARIABLE
+    )
+
+/** Runs the relay beside an engine of a rank group. */
+internal class RelayCommand :
+    ProcessCommand<RelaySettings>(
+        name = "relay",
+        description = "Run the relay through which keepers of rank groups reach an engine.",
+        read = { readRelaySettings(it) },
+        serve = { settings, _ ->
+            configureLogging(LIBRARY_LEVEL)
+            runPlatformRelay(settings)
+        },
+        settingsVariable = SETTINGS_VARIABLE
+    )
+
+/** Libraries log only what is wrong; these processes have a writer of their own. */
+private const val LIBRARY_LEVEL = "error"
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
@@ -1,7 +1,6 @@
 package org.shallotplank.core.gateway
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
@@ -106,13 +105,10 @@
  *
  * @property eventStride token steps of one pass, and so tokens of one event.
  * @property stepTime duration of a step without any request.
- * @property stepTimePerRequest what each request in the batch adds to a step.
  */
 public data class EngineProfile(
-    val slots: Int,
     val eventStride: Int,
     val stepTime: Duration,
-    val stepTimePerRequest: Duration,
     val placement: PlacementProfile? = null
 )
 
@@ -143,6 +139,3 @@
     routes = persistentListOf(),
     services = persistentMapOf()
 )
-
-/** Shortest timeout of a route that is taken seriously; below it nothing could be answered. */
-public val MIN_ROUTE_TIMEOUT: Duration = 1.milliseconds
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
@@ -176,10 +176,8 @@
     @Nested
     inner class Overload {
         private val engine = EngineProfile(
-            slots = 4,
             eventStride = 4,
-            stepTime = 5.milliseconds,
-            stepTimePerRequest = 1.milliseconds
+            stepTime = 5.milliseconds
         )
 
         @Test
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
@@ -158,7 +158,7 @@
     fun servingEntries(): List<Address> {
         val isServing = exchanges.state.isReady && !exchanges.state.isStopping
         val own = listOfNotNull(settings.listenAddress.takeIf { isServing })
-        val others = servingPeers().mapNotNull { addressOf(it.publicAddress) }
+        val others = servingPeers().mapNotNull { Address.parseOrNull(it.publicAddress) }
         return (own + others).distinct()
     }
 
@@ -218,7 +218,7 @@
 
     private fun followPeers() {
         val registered = entryRows()
-            .mapNotNull { row -> decodeRow(row.value)?.peerAddress?.let(::addressOf) }
+            .mapNotNull { row -> decodeRow(row.value)?.peerAddress?.let(Address::parseOrNull) }
         peers.follow(registered.toSet() + seeds)
     }
 
@@ -305,11 +305,6 @@
         null
     }
 
-    private fun addressOf(text: String): Address? {
-        val port = text.substringAfterLast(':').toIntOrNull() ?: return null
-        return Address(text.substringBeforeLast(':'), port)
-    }
-
     private companion object {
         /**
          * Longest calls for changes; a connection that went silent is given up soon after, while a
