--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -63,7 +63,8 @@
         if (now - checkedAt < CHECK_INTERVAL) return
         checkedAt = now
         val groups = knownGroups()
-        (running.keys - groups.keys).forEach { running.remove(it) }
+        // A change that is under way goes on while a rank is missing from the list.
+        running.entries.removeAll { (name, keeper) -> name !in groups && !keeper.isChanging }
         groups.forEach { (name, group) -> check(name, group, now) }
         port.keepOnly(running.values.flatMap { it.ranks.values }.toSet())
     }
@@ -74,13 +75,10 @@
         val isOwn = lease?.holder == around.own.instance &&
             lease.incarnation == around.own.incarnation
         val keeper = running[name]
-        val isSettled = keeper == null || keeper.state.stage is KeeperStage.Settled
         val candidates = around.candidates()
         when {
             isOwn && keeper?.state?.isFenced != true ->
-                if (around.own in candidates ||
-                    !isSettled
-                ) {
+                if (around.own in candidates || keeper?.isChanging == true) {
                     keep(name, group, lease)
                 } else {
                     running.remove(name)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
@@ -7,6 +7,7 @@
 import org.shallotplank.core.expertmap.GroupKeeper
 import org.shallotplank.core.expertmap.GroupKeeperEffect
 import org.shallotplank.core.expertmap.GroupKeeperEvent
+import org.shallotplank.core.expertmap.KeeperStage
 import org.shallotplank.core.expertmap.on
 import org.shallotplank.core.log.LogRecord
 
@@ -26,6 +27,13 @@
     /** The fencing number that the lease gave. */
     val leaseFence: Long = initial.fence
 
+    /** Whether ranks have orders of a change that is not complete. */
+    val isChanging: Boolean
+        get() = when (state.stage) {
+            is KeeperStage.Settled, is KeeperStage.Surveying, is KeeperStage.ReadingMap -> false
+            else -> !state.isFenced
+        }
+
     /** Follows the time. */
     fun tick(now: Instant) {
         reduce(GroupKeeperEvent.Tick, now)
