Name and import as a newcomer would look for it

Cause: a misleading local name, qualified names in signatures, and two members that nothing used.

Change: renamed, imported, removed; nothing that runs differently.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -175,11 +175,11 @@
         !call.isAnswerBegun -> (call.route.goal * SILENT_GOALS).coerceAtLeast(MIN_SILENCE)
         else -> ((call.route.longestPause ?: MIN_SILENCE) * SILENT_PAUSES)
     }
-    val isAlone = upstreamsOf(call.service).any {
+    val doOthersAnswer = upstreamsOf(call.service).any {
         it.key != open.sent.upstream && context.now - it.lastHeadAt < OTHERS_ANSWER
     }
     val isGivenUp = event.silence >= patience &&
-        isAlone &&
+        doOthersAnswer &&
         call.route.isIdempotent &&
         mayTryAgain(call, context)
     if (!isGivenUp) return Step(this)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
@@ -73,8 +74,6 @@
     /** Address of the caller, for the logs. */
     val remote: String get() = channel.remoteAddress().toString()
 
-    val isWritable: Boolean get() = channel.isWritable
-
     /** Notes that bytes came, before they are decoded. */
     fun onBytes() {
         lastReadAt = clock.now()
@@ -187,7 +186,7 @@
     }
 
     /** Answers with a whole message. */
-    fun sendWhole(response: io.netty.handler.codec.http.FullHttpResponse) {
+    fun sendWhole(response: FullHttpResponse) {
         markClose(response)
         channel.writeAndFlush(response)
         finishAnswer()
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/log/JsonLogWriter.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/log/JsonLogWriter.kt
@@ -41,9 +41,6 @@
         thread(name = "log", isDaemon = true) { drain(output) }
     }
 
-    /** Lines that were dropped since the last call, because the reader was too slow. */
-    public fun takeUnread(): Long = unread.getAndSet(0)
-
     /** Queues a line of [record], unless the budget of its event is spent. */
     public fun write(record: LogRecord) {
         val now = clock.now()
@@ -70,7 +67,7 @@
 
     private fun turnOver(now: Instant) {
         val leftOut = LogEvent.entries.filter { leftOutByEvent[it.ordinal] > 0 }
-        val unreadLines = takeUnread()
+        val unreadLines = unread.getAndSet(0)
         if (leftOut.isNotEmpty() || unreadLines > 0) {
             val counts = leftOut.joinToString(",") {
                 "SP${it.number}:${leftOutByEvent[it.ordinal]}"
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableReplica.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableReplica.kt
@@ -45,7 +45,4 @@
         }
         return isChanged
     }
-
-    /** The copy as others may take it over. */
-    public fun contents(): TableContents = TableContents(rowsByKey.values.toList(), version)
 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
@@ -1,5 +1,8 @@
 package org.shallotplank.gateway
 
+import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertContains
@@ -7,6 +10,7 @@
 import kotlin.test.assertFalse
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.gateway.CallerLimits
@@ -20,7 +24,7 @@
     fun closeAll(): Unit = open.forEach { it.close() }
 
     private fun upstream(
-        respond: (ReadRequest, java.net.Socket, Int) -> Unit = { request, socket, _ ->
+        respond: (ReadRequest, Socket, Int) -> Unit = { request, socket, _ ->
             socket.send(answer(request))
         }
     ) = ScriptedUpstream(respond).also { open += it }
@@ -28,7 +32,7 @@
     private fun gateway(
         vararg upstreams: ScriptedUpstream,
         maxAttempts: Int = 2,
-        timeout: kotlin.time.Duration = 5_000.milliseconds,
+        timeout: Duration = 5_000.milliseconds,
         limits: CallerLimits = CallerLimits()
     ) = GatewayFixture(upstreams.toList(), maxAttempts, timeout, limits).also { open += it }
 
@@ -283,7 +287,7 @@
     inner class CallersThatLeave {
         @Test
         fun `free their upstream at once`() {
-            val seen = java.util.concurrent.CompletableFuture<Boolean>()
+            val seen = CompletableFuture<Boolean>()
             val upstream = upstream { request, socket, _ ->
                 socket.send(streamHead(request) + chunk("id: 1\ndata: a\n\n"))
                 seen.complete(runCatching { socket.getInputStream().read() < 0 }.getOrDefault(true))
@@ -293,7 +297,7 @@
                 socket.send(request("stream"))
                 socket.getInputStream().read()
             }
-            assertTrue(seen.get(2, java.util.concurrent.TimeUnit.SECONDS))
+            assertTrue(seen.get(2, TimeUnit.SECONDS))
         }
     }
 
@@ -310,7 +314,7 @@
     }
 
     /** Reads one answer with a stated length. */
-    private fun readAnswer(socket: java.net.Socket): String {
+    private fun readAnswer(socket: Socket): String {
         val input = socket.getInputStream()
         val lines = readHeaderLines(input) ?: return "CLOSED"
         val length = lines.first { it.startsWith("content-length", ignoreCase = true) }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentListOf
@@ -49,7 +50,7 @@
 internal class GatewayFixture(
     upstreams: List<ScriptedUpstream>,
     maxAttempts: Int = 2,
-    timeout: kotlin.time.Duration = 5.seconds,
+    timeout: Duration = 5.seconds,
     limits: CallerLimits = CallerLimits()
 ) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -112,7 +113,7 @@
         )
     )
 
-    private fun route(kind: RequestKind, maxAttempts: Int, timeout: kotlin.time.Duration) = Route(
+    private fun route(kind: RequestKind, maxAttempts: Int, timeout: Duration) = Route(
         name = kind.name,
         host = "h.example",
         pathPrefix = "/${kind.name.lowercase()}/",
