Forget the old demand for experts when demand jumps

Cause: counts were read each 250 ms and averaged with a half-life of 400 ms.

Ruled out: that demand returns to experts seen before, so that a map could be prepared for it.

Change: counts are read each 150 ms and summed by round. A round that resembles what is known is averaged in; two rounds in a row that resemble each other and not what is known replace it. Rounds differ by 0.10 (median) and 0.155 (90th percentile) of the tokens while demand stays, by 0.43 to 0.57 at a jump; the bound lies at 0.25.

--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupDemand.kt
@@ -0,0 +1,68 @@
+package org.shallotplank.core.expertmap
+
+import kotlin.time.Duration
+import kotlin.time.Instant
+import org.shallotplank.core.placement.ExpertPopularity
+
+/**
+ * What the requests of a group ask of each expert, from counts that are read in rounds.
+ *
+ * Immutable. Rounds that resemble what is known are averaged with it, so that noise does not move
+ * experts. Demand also jumps: two rounds in a row that resemble each other and not what is known
+ * take its place, since an average of old and new demand fits neither.
+ *
+ * @property popularity what maps are planned for.
+ */
+public class GroupDemand private constructor(
+    public val popularity: ExpertPopularity,
+    private val round: ExpertPopularity,
+    private val lastRound: ExpertPopularity,
+    private val movingRounds: Int
+) {
+    /** Whether [popularity] is what is asked for now, as far as the last round tells. */
+    public val isSettled: Boolean get() = popularity.isKnown && movingRounds == 0
+
+    /** Adds the [tokens] that one rank routed since it was last asked, by layer and expert. */
+    internal fun plus(tokens: List<IntArray>, now: Instant): GroupDemand =
+        GroupDemand(popularity, round.plus(tokens, now), lastRound, movingRounds)
+
+    /**
+     * Ends a round of readings; [halfLife] is the time after which a count weighs half.
+     *
+     * A round with too few tokens to tell is continued.
+     */
+    internal fun endRound(halfLife: Duration): GroupDemand {
+        if (round.tokensPerExpert < MIN_TOKENS_PER_EXPERT) return this
+        val isKnown = popularity.isKnown && round.distanceTo(popularity) <= MAX_DISTANCE
+        val isRepeated = movingRounds > 0 && round.distanceTo(lastRound) <= MAX_DISTANCE
+        return when {
+            isKnown -> next(popularity.plus(round, halfLife), movingRounds = 0)
+            isRepeated -> next(lastRound.plus(round, halfLife), movingRounds = 0)
+            // Rounds that never resemble each other say no more than their average.
+            movingRounds >= MAX_MOVING_ROUNDS -> next(popularity.plus(round, halfLife), 0)
+            else -> next(popularity, movingRounds + 1)
+        }
+    }
+
+    private fun next(popularity: ExpertPopularity, movingRounds: Int) =
+        GroupDemand(popularity, round.cleared(), lastRound = round, movingRounds)
+
+    internal companion object {
+        fun unknown(layers: Int, expertsPerLayer: Int): GroupDemand {
+            val none = ExpertPopularity.unknown(layers, expertsPerLayer)
+            return GroupDemand(none, none, none, movingRounds = 0)
+        }
+
+        /** Mean tokens of an expert below which the shares of a round are mostly noise. */
+        private const val MIN_TOKENS_PER_EXPERT = 20.0
+
+        /**
+         * Part of the tokens that goes to other experts from which on demand has jumped; twice what
+         * rounds differ by while nothing changes, see docs/MEASUREMENTS.md.
+         */
+        private const val MAX_DISTANCE = 0.25
+
+        /** Two rounds settle a jump, and a third one if it came in the middle of a round. */
+        private const val MAX_MOVING_ROUNDS = 3
+    }
+}
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -13,7 +13,6 @@
 import org.shallotplank.core.Step
 import org.shallotplank.core.gateway.PlacementProfile
 import org.shallotplank.core.log.LogRecord
-import org.shallotplank.core.placement.ExpertPopularity
 
 /** Next state of a [GroupKeeper] and what it wants done. */
 public typealias GroupKeeperStep = Step<GroupKeeper, GroupKeeperEffect>
@@ -47,8 +46,8 @@
     /** The map in use, null before it is known. */
     val map: GroupMap? = null,
     val lastVersion: Long = 0,
-    val popularity: ExpertPopularity =
-        ExpertPopularity.unknown(placement.layers, placement.expertsPerLayer),
+    val demand: GroupDemand =
+        GroupDemand.unknown(placement.layers, placement.expertsPerLayer),
     val counts: PersistentMap<Int, PersistentList<Long>> = persistentMapOf(),
     val passes: PassEstimate = PassEstimate(),
     val reportsAskedAt: Instant = Instant.DISTANT_PAST,
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -157,7 +157,7 @@
         val from = layer * placement.expertsPerLayer
         chosen.copyOfRange(from, from + placement.expertsPerLayer)
     }
-    return known.copy(popularity = popularity.plus(byLayer, now, settings.popularityHalfLife))
+    return known.copy(demand = demand.plus(byLayer, now))
 }
 
 private fun GroupKeeper.onListed(event: GroupKeeperEvent.Listed): GroupKeeperStep {
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
@@ -16,7 +16,8 @@
 private fun GroupKeeper.countIfDue(now: Instant): GroupKeeperStep {
     if (map == null || now - countsAskedAt < settings.countInterval) return Step(this)
     val asked = sampledRanks().map { GroupKeeperEffect.ReadCounts(it) }
-    return Step(copy(countsAskedAt = now), asked.toPersistentList())
+    val known = demand.endRound(settings.popularityHalfLife)
+    return Step(copy(demand = known, countsAskedAt = now), asked.toPersistentList())
 }
 
 private fun GroupKeeper.stageTick(now: Instant): GroupKeeperStep {
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
@@ -15,7 +15,7 @@
 internal fun GroupKeeper.plan(now: Instant): GroupKeeperStep {
     val present = map ?: return Step(this)
     val looked = copy(plannedAt = now)
-    if (!popularity.isKnown) return Step(looked)
+    if (!demand.isSettled) return Step(looked)
     val plan = planFor(present) ?: return Step(looked)
     val version = nextVersion()
     val next = GroupMap.of(plan.map, placement.expertsPerLayer)
@@ -56,7 +56,7 @@
     )
     return MapPlanner(settings).plan(
         map = present.padded(slots, placement.expertsPerLayer),
-        popularity = popularity.withUnusedExperts(placeholders),
+        popularity = demand.popularity.withUnusedExperts(placeholders),
         speeds = RankSpeeds.equal(ranks)
     )
 }
--- a/core/src/main/kotlin/org/shallotplank/core/placement/ExpertPopularity.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/ExpertPopularity.kt
@@ -1,5 +1,6 @@
 package org.shallotplank.core.placement
 
+import kotlin.math.abs
 import kotlin.math.pow
 import kotlin.time.Duration
 import kotlin.time.Instant
@@ -35,6 +36,20 @@
         return ExpertPopularity(counts, now)
     }
 
+    /** Adds the [tokens] to counts that do not decay. */
+    internal fun plus(tokens: List<IntArray>, now: Instant): ExpertPopularity =
+        plus(tokens, now, Duration.INFINITE)
+
+    /** Adds the counts of [later], after the earlier ones have decayed until then. */
+    internal fun plus(later: ExpertPopularity, halfLife: Duration): ExpertPopularity {
+        val now = later.updatedAt ?: return this
+        val decay = decayFactor(now, halfLife)
+        val counts = countsByLayer.zip(later.countsByLayer) { old, new ->
+            DoubleArray(old.size) { expert -> old[expert] * decay + new[expert] }
+        }
+        return ExpertPopularity(counts, now)
+    }
+
     private fun hasShapeOf(tokens: List<IntArray>): Boolean = tokens.size == countsByLayer.size &&
         tokens.indices.all { tokens[it].size == countsByLayer[it].size }
 
@@ -51,6 +66,22 @@
         return DoubleArray(counts.size) { counts[it] / total }
     }
 
+    /** Mean count of an expert of a layer. */
+    internal val tokensPerExpert: Double
+        get() = countsByLayer.sumOf { it.sum() } / countsByLayer.sumOf { it.size }
+
+    /** Part of the tokens, 0.0 to 1.0, that [other] has at other experts; mean of the layers. */
+    internal fun distanceTo(other: ExpertPopularity): Double =
+        countsByLayer.indices.sumOf { layer ->
+            val own = shares(layer)
+            val others = other.shares(layer)
+            own.indices.sumOf { abs(own[it] - others[it]) } / 2
+        } / layers
+
+    /** A tracker of the same shape that has counted nothing. */
+    internal fun cleared(): ExpertPopularity =
+        ExpertPopularity(countsByLayer.map { DoubleArray(it.size) }, updatedAt = null)
+
     /** The same counts with [count] further experts in each layer that no token was routed to. */
     internal fun withUnusedExperts(count: Int): ExpertPopularity = ExpertPopularity(
         countsByLayer.map { it.copyOf(it.size + count) },
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -194,7 +194,7 @@
         private const val MAX_SAMPLES = 16
 
         /** Popularity may change within a few seconds. */
-        private val COUNT_INTERVAL = 250.milliseconds
+        private val COUNT_INTERVAL = 150.milliseconds
         private val POPULARITY_HALF_LIFE = 400.milliseconds
         private const val MIN_GAIN = 0.05
 
