Hold the next pass for a change of map, not one far ahead

Cause: the pass to hold was guessed from reports up to 0.5 s old and the usual time of a pass, some 45 ms.

Ruled out: the copies (complete within 0.2 s) and the arming (5 to 20 ms).

Change: the pass after the last one known is held; counts tell the last pass too, and a pass that has begun costs one refused order, some 5 ms. Where orders get lost the lead is two passes instead of 400 ms of passes. PassEstimate is gone. Test: GroupKeeperTest, a jump of demand is met within a second.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -1,8 +1,6 @@
 package org.shallotplank.core.expertmap
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
@@ -49,7 +47,8 @@
     val demand: GroupDemand =
         GroupDemand.unknown(placement.layers, placement.expertsPerLayer),
     val counts: PersistentMap<Int, PersistentList<Long>> = persistentMapOf(),
-    val passes: PassEstimate = PassEstimate(),
+    /** The highest pass that is known to have begun. */
+    val latestStep: Long = 0,
     val reportsAskedAt: Instant = Instant.DISTANT_PAST,
     val countsAskedAt: Instant = Instant.DISTANT_PAST,
     val plannedAt: Instant = Instant.DISTANT_PAST,
@@ -77,40 +76,6 @@
     }
 }
 
-/**
- * How long a pass takes, from the passes that reports tell.
- *
- * @property passTime smoothed duration of a pass.
- */
-public data class PassEstimate(
-    val step: Long = 0,
-    val at: Instant = Instant.DISTANT_PAST,
-    val passTime: Duration = FIRST_GUESS
-) {
-    internal fun after(reportedStep: Long, now: Instant): PassEstimate {
-        if (reportedStep < step ||
-            at == Instant.DISTANT_PAST
-        ) {
-            return copy(step = reportedStep, at = now)
-        }
-        if (now - at < MIN_SPAN) return this
-        val passed = reportedStep - step
-        val next = copy(step = reportedStep, at = now)
-        if (passed == 0L) return next
-        val observed = ((now - at) / passed.toDouble()).coerceIn(SHORTEST, LONGEST)
-        return next.copy(passTime = (passTime + observed) / 2)
-    }
-
-    private companion object {
-        val FIRST_GUESS = 100.milliseconds
-        val SHORTEST = 10.milliseconds
-        val LONGEST = 1.seconds
-
-        /** Reports are some hundred milliseconds old, by different amounts. */
-        val MIN_SPAN = 700.milliseconds
-    }
-}
-
 /** A report and when it came. */
 public data class ReceivedReport(val report: RankReport, val at: Instant)
 
@@ -204,9 +169,13 @@
     /** A rank reported. */
     public data class Reported(val rank: Int, val report: RankReport) : GroupKeeperEvent
 
-    /** A rank told how often its requests chose each expert since it started, by layer. */
-    public data class Counted(val rank: Int, val epoch: Long, val counts: PersistentList<Long>) :
-        GroupKeeperEvent
+    /** A rank told its last pass and how often its requests chose each expert, by layer. */
+    public data class Counted(
+        val rank: Int,
+        val epoch: Long,
+        val step: Long,
+        val counts: PersistentList<Long>
+    ) : GroupKeeperEvent
 
     /** A rank told which experts it holds, by layer. */
     public data class Listed(
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -30,7 +30,7 @@
     if (report.epoch > epoch || !report.isOpen) return startAnew(report.epoch, now)
     val kept = copy(
         reports = reports.put(event.rank, ReceivedReport(report, now)),
-        passes = passes.after(report.step, now)
+        latestStep = maxOf(latestStep, report.step)
     )
     return when (val present = stage) {
         is KeeperStage.Surveying -> kept.concludeSurvey(present, now)
@@ -55,6 +55,7 @@
         stage = KeeperStage.Surveying(now),
         reports = persistentMapOf(),
         counts = persistentMapOf(),
+        latestStep = 0,
         map = null
     )
     return Step(anew, effects(GroupKeeperEffect.Log(record)))
@@ -119,13 +120,15 @@
     return copy(isUndone = false).enter(holding, now)
 }
 
-/** The first pass that may not have begun; if it has, the next ones are tried. */
+/**
+ * The first pass that may not have begun; if it has, the next ones are tried.
+ *
+ * A try takes a small part of a pass, while a pass that is still far off delays the change by all
+ * passes in between. Where orders get lost, the ranks get the time to be armed in a second round.
+ */
 private fun GroupKeeper.stepAhead(now: Instant): Long {
-    val latest = reports.values.maxBy { it.report.step }
-    val age = now - latest.at + USUAL_LAG
     val areOrdersLost = now - orderLostAt < LOSS_MEMORY
-    val lead = if (areOrdersLost) (REPEATS_TIME / passes.passTime).toLong() else 0
-    return latest.report.step + (age / passes.passTime).toLong() + 1 + lead
+    return latestStep + 1 + if (areOrdersLost) LOSS_LEAD_PASSES else 0
 }
 
 private fun GroupKeeper.concludeSwitch(
@@ -150,7 +153,10 @@
     val size = placement.layers * placement.expertsPerLayer
     if (event.epoch != epoch || event.counts.size != size) return this
     val before = counts[event.rank]
-    val known = copy(counts = counts.put(event.rank, event.counts))
+    val known = copy(
+        counts = counts.put(event.rank, event.counts),
+        latestStep = maxOf(latestStep, event.step)
+    )
     if (before == null) return known
     val chosen = IntArray(size) { (event.counts[it] - before[it]).coerceIn(0, MAX_COUNT).toInt() }
     val byLayer = List(placement.layers) { layer ->
@@ -285,17 +291,14 @@
 
 private const val MAX_COUNT = 1_000_000_000L
 
-/** A report is usually at least this old. */
-private val USUAL_LAG = 150.milliseconds
-
 /** For this long after an order got no answer, others are expected to get none either. */
 private val LOSS_MEMORY = 5.seconds
 
-/** Time for orders to be repeated before the held pass is reached, so that the group goes on. */
-private val REPEATS_TIME = 400.milliseconds
+/** A pass takes some 50 to 100 ms, and orders are repeated after as long. */
+private const val LOSS_LEAD_PASSES = 2
 
-/** Passes that are tried when the one to hold had begun already. */
-private const val MAX_HOLD_TRIES = 20
+/** Passes that are tried when the one to hold had begun; a second of passes of 25 ms. */
+private const val MAX_HOLD_TRIES = 40
 
 /** A report may be this old when it comes. */
 internal val REPORT_LAG: Duration = 600.milliseconds
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperFuzz.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperFuzz.kt
@@ -142,7 +142,12 @@
             }
             is GroupKeeperEffect.ReadCounts -> answer(keeper, 5.milliseconds) {
                 val counts = List(placement.expertsPerLayer) { 1L + random.nextLong(1_000_000) }
-                GroupKeeperEvent.Counted(effect.rank, group.epoch, counts.toPersistentList())
+                GroupKeeperEvent.Counted(
+                    effect.rank,
+                    group.epoch,
+                    group.step,
+                    counts.toPersistentList()
+                )
             }
             is GroupKeeperEffect.ReadMap -> answer(keeper, 5.milliseconds) {
                 val initial = GroupMap.initial(1, RANKS, placement.expertsPerLayer)
--- /dev/null
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperTest.kt
@@ -0,0 +1,185 @@
+package org.shallotplank.core.expertmap
+
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlinx.collections.immutable.toPersistentList
+import org.junit.jupiter.api.Nested
+import org.shallotplank.core.gateway.PlacementProfile
+
+/** Load pattern: demand moves to other experts, and passes take longer until a map fits it. */
+class GroupKeeperTest {
+    @Nested
+    inner class AChangeOfDemand {
+        @Test
+        fun `is met within a second`() {
+            val world = BusyGroup(lossRate = 0.0)
+
+            assertTrue(world.timeToBalance() <= 1.seconds)
+        }
+
+        @Test
+        fun `is met within two seconds where a third of the orders get no answer`() {
+            val times = (1L..20L).map { BusyGroup(lossRate = 0.35, seed = it).timeToBalance() }
+
+            assertTrue(times.all { it <= 2.seconds }, "took $times")
+        }
+
+        @Test
+        fun `does not hold the group for as long as a pass`() {
+            val worst = (1L..20L).maxOf { seed ->
+                BusyGroup(lossRate = 0.35, seed = seed).also { it.timeToBalance() }.longestHold
+            }
+
+            assertTrue(worst <= BALANCED_PASS * 2, "held for $worst")
+        }
+    }
+}
+
+private val BALANCED_PASS = 50.milliseconds
+private val SKEWED_PASS = 150.milliseconds
+private const val RANKS = 4
+private const val EXPERTS = 8
+
+private val placement = PlacementProfile(
+    layers = 1,
+    expertsPerLayer = EXPERTS,
+    slotsPerRank = 4,
+    spareSlots = 2,
+    expertCopyTime = 100.milliseconds
+)
+
+/** A group whose passes take longer while its map does not fit the demand, and its keeper. */
+private class BusyGroup(private val lossRate: Double, seed: Long = 1) {
+    private val random = Random(seed)
+    private val group = FakeRankGroup(RANKS)
+    private val due = PriorityQueue<Due>(compareBy { it.at })
+    private val counts = List(RANKS) { LongArray(EXPERTS) }
+    private var now = Instant.fromEpochMilliseconds(1_000_000)
+    private var nextPassAt = now
+    private var heldSince: Instant? = null
+    private var hotExpert = 0
+    private var keeper = GroupKeeper(
+        group = "g",
+        fence = GroupKeeper.FENCES_PER_LEASE,
+        ranks = RANKS,
+        placement = placement,
+        settings = GroupKeeperSettings(
+            sampledRanks = RANKS,
+            countInterval = 150.milliseconds,
+            popularityHalfLife = 400.milliseconds,
+            maxLoadsPerRank = 2,
+            minGain = 0.05
+        ),
+        stage = KeeperStage.Surveying(now)
+    )
+    var longestHold: Duration = Duration.ZERO
+        private set
+
+    private class Due(val at: Instant, val run: () -> Unit)
+
+    /** Time from a change of demand until a map that fits it is in use. */
+    fun timeToBalance(): Duration {
+        run(6.seconds)
+        check(isBalanced()) { "the first demand was not met" }
+        longestHold = Duration.ZERO
+        hotExpert = EXPERTS - 1
+        val changedAt = now
+        while (!isBalanced() && now - changedAt < 10.seconds) run(TICK)
+        return now - changedAt
+    }
+
+    private fun run(time: Duration) {
+        val end = now + time
+        while (now < end) {
+            now += TICK
+            while (due.isNotEmpty() && due.peek().at <= now) due.poll().run()
+            passIfDue()
+            if ((now.toEpochMilliseconds() % 50) == 0L) reduce(GroupKeeperEvent.Tick)
+        }
+    }
+
+    private fun passIfDue() {
+        if (now < nextPassAt) return
+        if (group.isHeld) {
+            heldSince = heldSince ?: now
+            return
+        }
+        heldSince?.let { longestHold = maxOf(longestHold, now - it) }
+        heldSince = null
+        group.pass()
+        nextPassAt = now + if (isBalanced()) BALANCED_PASS else SKEWED_PASS
+        counts.forEach { rank ->
+            rank.indices.forEach { rank[it] += if (it == hotExpert) HOT_TOKENS else TOKENS }
+        }
+    }
+
+    /** The hot expert takes four ninths of the tokens, which three ranks have to share. */
+    private fun isBalanced(): Boolean = (0 until RANKS).count { hotExpert in heldBy(it) } >= 3
+
+    private fun heldBy(rank: Int): List<Int> {
+        val initial = GroupMap.initial(1, RANKS, EXPERTS)
+        return group.experts(rank, initial).second.single()
+    }
+
+    private fun reduce(event: GroupKeeperEvent) {
+        val step = keeper.on(event, now)
+        keeper = step.state
+        step.effects.forEach(::perform)
+    }
+
+    private fun perform(effect: GroupKeeperEffect) {
+        when (effect) {
+            is GroupKeeperEffect.Log -> Unit
+            is GroupKeeperEffect.ReadReport -> {
+                val seen = group.report(effect.rank)
+                later(REPORT_AGE) { reduce(GroupKeeperEvent.Reported(effect.rank, seen)) }
+            }
+            is GroupKeeperEffect.ReadCounts -> {
+                val seen = counts[effect.rank].toList().toPersistentList()
+                val event =
+                    GroupKeeperEvent.Counted(effect.rank, group.epoch, group.step, seen)
+                later(ANSWER_TIME) { reduce(event) }
+            }
+            is GroupKeeperEffect.ReadMap -> {
+                val lists = listOf(heldBy(effect.rank).toPersistentList()).toPersistentList()
+                val version = group.report(effect.rank).mapVersion
+                val event = GroupKeeperEvent.Listed(effect.rank, group.epoch, version, lists)
+                later(ANSWER_TIME) { reduce(event) }
+            }
+            is GroupKeeperEffect.Give -> give(effect)
+        }
+    }
+
+    private fun give(give: GroupKeeperEffect.Give) {
+        val isLost = random.nextDouble() < lossRate
+        later(if (isLost) ORDER_TIMEOUT else ANSWER_TIME) {
+            val outcome = if (isLost) {
+                OrderOutcome.NO_ANSWER
+            } else {
+                group.carryOut(give.rank, give.order, give.epoch, give.fence)
+            }
+            reduce(
+                GroupKeeperEvent.Answered(give.rank, give.epoch, give.fence, give.order, outcome)
+            )
+        }
+    }
+
+    private fun later(delay: Duration, run: () -> Unit) {
+        due += Due(now + delay, run)
+    }
+
+    private companion object {
+        val TICK = 5.milliseconds
+        val ANSWER_TIME = 5.milliseconds
+        val REPORT_AGE = 300.milliseconds
+        val ORDER_TIMEOUT = 40.milliseconds
+        const val TOKENS = 100L
+        const val HOT_TOKENS = 560L
+    }
+}
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RankPort.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RankPort.kt
@@ -10,8 +10,12 @@
 /** A rank as it is reached over the network. */
 public data class RankAddress(val id: InstanceId, val address: Address)
 
-/** Counts of a rank: how often its requests chose each expert, layer after layer. */
-public class RankCounts(public val epoch: Long, public val counts: PersistentList<Long>)
+/** Counts of a rank: how often its requests chose each expert, layer after layer, up to [step]. */
+public class RankCounts(
+    public val epoch: Long,
+    public val step: Long,
+    public val counts: PersistentList<Long>
+)
 
 /** The experts of a rank by layer, under [version] of the map. */
 public class RankExperts(
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
@@ -53,7 +53,7 @@
             }
             is GroupKeeperEffect.ReadCounts -> ask(effect.rank) { address ->
                 port.counts(address)?.let {
-                    GroupKeeperEvent.Counted(effect.rank, it.epoch, it.counts)
+                    GroupKeeperEvent.Counted(effect.rank, it.epoch, it.step, it.counts)
                 }
             }
             is GroupKeeperEffect.ReadMap -> ask(effect.rank) { address ->
