Repeat a lost order after the time of a pass

Cause: an order without an answer was repeated after 100 ms and more. With a third of the orders lost, the group was held for up to 450 ms while its ranks were armed (GroupKeeperTest, which failed with this before).

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
@@ -60,8 +60,8 @@
     return List(wanted) { it * ranks / wanted }.distinct()
 }
 
-/** An order without an answer is given again after this time. */
-private val ORDER_INTERVAL = 100.milliseconds
+/** An order without an answer is given again after this time, about that of a pass. */
+private val ORDER_INTERVAL = 50.milliseconds
 
 private val PREPARE_INTERVAL = 100.milliseconds
 
