Tell a rank again at once of a map that it may not have heard of

Cause: a lost order to prepare a map was found out only when the copies should have been complete, 0.1 to 0.2 s later, and copying began then.

Ruled out: that copies take longer on one rank: 0.2 s for two experts on each.

Change: ranks that answered neither "begun" nor "done" are told again after 50 ms; the lead of the held pass is three passes while orders get lost, since two still held the group for 245 ms in GroupKeeperTest, whose ranks now take time to copy.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -121,6 +121,8 @@
         val since: Instant,
         /** When the copies can be complete. */
         val expectedAt: Instant,
+        /** Ranks that are known to copy. */
+        val begun: PersistentSet<Int> = persistentSetOf(),
         val prepared: PersistentSet<Int> = persistentSetOf()
     ) : KeeperStage
 
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -203,7 +203,7 @@
     return when (event.outcome) {
         OrderOutcome.DONE -> logged.then { it.onDone(event.rank, event.order, now) }
         // Asked again until it is done.
-        OrderOutcome.BEGUN -> logged
+        OrderOutcome.BEGUN -> logged.map { it.noteBegun(event) }
         OrderOutcome.CONFLICT -> logged.then { it.onConflict(event, now) }
         OrderOutcome.FENCED -> logged.map { it.copy(isFenced = true) }
         // Repeated at a later tick, while it is still wanted.
@@ -211,6 +211,12 @@
     }
 }
 
+private fun GroupKeeper.noteBegun(event: GroupKeeperEvent.Answered): GroupKeeper {
+    val preparing = stage as? KeeperStage.Preparing ?: return this
+    if (!event.order.isPrepareOf(preparing.version)) return this
+    return copy(stage = preparing.copy(begun = preparing.begun.add(event.rank)))
+}
+
 private fun GroupKeeper.onDone(rank: Int, order: RankOrder, now: Instant): GroupKeeperStep {
     val present = stage
     return when {
@@ -298,8 +304,8 @@
 /** For this long after an order got no answer, others are expected to get none either. */
 private val LOSS_MEMORY = 5.seconds
 
-/** A pass takes some 50 to 100 ms, and orders are repeated after as long. */
-private const val LOSS_LEAD_PASSES = 2
+/** A pass takes 50 to 100 ms, and orders are repeated after as long; few need a third time. */
+private const val LOSS_LEAD_PASSES = 3
 
 /** Passes that are tried when the one to hold had begun; a second of passes of 25 ms. */
 private const val MAX_HOLD_TRIES = 40
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperStages.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperStages.kt
@@ -20,7 +20,7 @@
     val log: GroupKeeperEffect = GroupKeeperEffect.Log(record)
     return Step(
         entered.copy(reportsAskedAt = now),
-        (listOf(log) + entered.wanted()).toPersistentList()
+        (listOf(log) + entered.wanted(now)).toPersistentList()
     )
 }
 
@@ -46,14 +46,17 @@
 internal fun GroupKeeper.stageName(): String = stage::class.simpleName.orEmpty()
 
 /** What the present stage still waits for. */
-internal fun GroupKeeper.wanted(): List<GroupKeeperEffect> = when (val present = stage) {
+internal fun GroupKeeper.wanted(now: Instant): List<GroupKeeperEffect> = when (
+    val present = stage
+) {
     is KeeperStage.Surveying -> allRanks.map { GroupKeeperEffect.ReadReport(it) }
     is KeeperStage.ReadingMap ->
         allRanks.filter { it !in present.known }.map { GroupKeeperEffect.ReadMap(it) }
     is KeeperStage.Settled -> emptyList()
     is KeeperStage.Preparing -> {
         val order = RankOrder.Prepare(present.version, present.map)
-        allRanks.filter { it !in present.prepared }.map { give(it, order) }
+        val waiting = if (now < present.expectedAt) present.begun else emptySet()
+        allRanks.filter { it !in present.prepared && it !in waiting }.map { give(it, order) }
     }
     is KeeperStage.Holding -> listOf(give(HOLDING_RANK, RankOrder.Hold(present.step)))
     is KeeperStage.Arming -> {
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
@@ -31,18 +31,25 @@
         isPreparing && demand.jumps != plannedJumps ->
             copy(stage = KeeperStage.Settled).plan(now)
         now < nextWantedAt(present) -> Step(this)
-        else -> Step(copy(reportsAskedAt = now), wanted().toPersistentList())
+        else -> Step(copy(reportsAskedAt = now), wanted(now).toPersistentList())
     }
 }
 
 /** When the questions and orders of [present] are to be repeated. */
 private fun GroupKeeper.nextWantedAt(present: KeeperStage): Instant = when {
-    present is KeeperStage.Preparing ->
-        maxOf(reportsAskedAt + PREPARE_INTERVAL, present.expectedAt)
+    present is KeeperStage.Preparing -> nextPrepareAt(present)
     present.givesOrders() -> reportsAskedAt + ORDER_INTERVAL
     else -> reportsAskedAt + SURVEY_INTERVAL
 }
 
+/** Ranks that may not have heard of the map are told soon; the others are asked later. */
+private fun GroupKeeper.nextPrepareAt(present: KeeperStage.Preparing): Instant {
+    val isHeard = allRanks.all { it in present.begun || it in present.prepared }
+    val soon = reportsAskedAt + ORDER_INTERVAL
+    if (!isHeard && soon < present.expectedAt) return soon
+    return maxOf(reportsAskedAt + PREPARE_INTERVAL, present.expectedAt)
+}
+
 private fun KeeperStage.givesOrders(): Boolean = when (this) {
     is KeeperStage.Holding, is KeeperStage.Arming, is KeeperStage.Releasing,
     is KeeperStage.Undoing, is KeeperStage.LettingGo -> true
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperTest.kt
@@ -68,6 +68,7 @@
     private val random = Random(seed)
     private val group = FakeRankGroup(RANKS)
     private val due = PriorityQueue<Due>(compareBy { it.at })
+    private val copyingSince = HashMap<Pair<Int, RankOrder>, Instant>()
     private val counts = List(RANKS) { LongArray(EXPERTS) }
     private var now = Instant.fromEpochMilliseconds(1_000_000)
     private var nextPassAt = now
@@ -182,10 +183,10 @@
     private fun give(give: GroupKeeperEffect.Give) {
         val isLost = random.nextDouble() < lossRate
         later(if (isLost) ORDER_TIMEOUT else ANSWER_TIME) {
-            val outcome = if (isLost) {
-                OrderOutcome.NO_ANSWER
-            } else {
-                group.carryOut(give.rank, give.order, give.epoch, give.fence)
+            val outcome = when {
+                isLost -> OrderOutcome.NO_ANSWER
+                isCopying(give) -> OrderOutcome.BEGUN
+                else -> group.carryOut(give.rank, give.order, give.epoch, give.fence)
             }
             reduce(
                 GroupKeeperEvent.Answered(give.rank, give.epoch, give.fence, give.order, outcome)
@@ -193,6 +194,11 @@
         }
     }
 
+    private fun isCopying(give: GroupKeeperEffect.Give): Boolean {
+        if (give.order !is RankOrder.Prepare) return false
+        return now < copyingSince.getOrPut(give.rank to give.order) { now } + COPY_TIME
+    }
+
     private fun later(delay: Duration, run: () -> Unit) {
         due += Due(now + delay, run)
     }
@@ -202,6 +208,7 @@
         val ANSWER_TIME = 5.milliseconds
         val REPORT_AGE = 300.milliseconds
         val ORDER_TIMEOUT = 40.milliseconds
+        val COPY_TIME = 200.milliseconds
         const val TOKENS = 100L
         const val WARM_TOKENS = 300L
         const val HOT_TOKENS = 560L
