Let deputies keep a group while the store is away

Nobody could take the lease: the group kept the map of 19.1 s until 30.9 s, through three changes of demand, and between half and all of the streams of these seconds were late. After the store's return 2.9 s more went by, since a failed claim was repeated only after 3 s.

Ruled out: the load (the same seconds are on time with a keeper).

Change: the row of a lease names deputies, each with a slot and fencing numbers of its own above those before it. While the holder does not serve, the first deputy that does keeps the group at once and claims the lease when it is settled and the store lets it; a settled keeper goes on under a higher number without a survey. Ranks tell apart whoever disagrees, as they do for the holders of two terms. Counts are read during the survey too. A claim is repeated after 1 s. Test: GroupLeaseTest.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -39,6 +39,7 @@
     val placement: PlacementProfile,
     val settings: GroupKeeperSettings,
     val stage: KeeperStage,
+    /** Counts how often the group was formed; 0 before a rank has told it. */
     val epoch: Long = 0,
     val reports: PersistentMap<Int, ReceivedReport> = persistentMapOf(),
     /** The map in use, null before it is known. */
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
@@ -14,7 +14,7 @@
 }
 
 private fun GroupKeeper.countIfDue(now: Instant): GroupKeeperStep {
-    if (map == null || now - countsAskedAt < settings.countInterval) return Step(this)
+    if (epoch == 0L || now - countsAskedAt < settings.countInterval) return Step(this)
     val asked = sampledRanks().map { GroupKeeperEffect.ReadCounts(it) }
     val known = demand.endRound(settings.popularityHalfLife)
     return Step(copy(demand = known, countsAskedAt = now), asked.toPersistentList())
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -6,7 +6,6 @@
 import kotlin.time.Instant
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.shallotplank.core.expertmap.GroupKeeper
@@ -21,13 +20,6 @@
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.TableReplica
 
-/** Who keeps a group; [term] rises with each holder. */
-@Serializable
-internal data class GroupLease(val holder: String, val incarnation: Long, val term: Long)
-
-/** An entry that may keep groups. */
-internal data class KeeperCandidate(val instance: String, val incarnation: Long)
-
 /** What the keepers need to know of the entry that they run in. */
 internal class KeeperSurroundings(
     val own: KeeperCandidate,
@@ -43,9 +35,9 @@
 /**
  * Keeps the rank groups whose leases this entry holds.
  *
- * A lease is a row of the store that changes hands only when its holder does not serve any more.
- * Two entries that both believe to hold one are told apart by the ranks, which refuse the lower
- * fencing number.
+ * A lease is a row of the store. While its holder does not serve, the first of its deputies that
+ * does keeps the group, and takes the lease over once the store lets it. Two entries that both
+ * believe to keep a group are told apart by the ranks, which refuse the lower fencing number.
  */
 internal class GroupKeepers(
     private val around: KeeperSurroundings,
@@ -72,28 +64,39 @@
     private fun check(name: String, group: KnownGroup, now: Instant) {
         val row = around.replica().row(KEY_PREFIX + name)
         val lease = row?.let { decode(it.value) }
-        val isOwn = lease?.holder == around.own.instance &&
-            lease.incarnation == around.own.incarnation
-        val keeper = running[name]
         val candidates = around.candidates()
+        val fence = lease?.fenceOf(around.own, candidates)
+        val keeper = running[name]
+        if (lease == null || fence == null) {
+            // A change that is under way is completed, unless the ranks hear of a higher number.
+            if (keeper?.isChanging != true) running.remove(name)
+            val isServed = lease?.isServed(candidates) == true
+            if (!isServed && around.own == preferred(name, candidates)) {
+                claim(name, lease, row?.version ?: 0, now)
+            }
+            return
+        }
         when {
-            isOwn && keeper?.state?.isFenced != true ->
-                if (around.own in candidates || keeper?.isChanging == true) {
-                    keep(name, group, lease)
-                } else {
-                    running.remove(name)
-                }
-            isOwn -> claim(name, lease, row.version, now)
-            else -> {
-                running.remove(name)
-                val isHeld = candidates.any {
-                    it.instance == lease?.holder && it.incarnation == lease.incarnation
-                }
-                if (!isHeld && around.own == preferred(name, candidates)) {
-                    claim(name, lease, row?.version ?: 0, now)
-                }
+            keeper?.leaseFence == fence && keeper.state.isFenced ->
+                claim(name, lease, row.version, now)
+            around.own in candidates -> {
+                keep(name, group, fence)
+                renew(name, lease, row.version, now)
             }
+            keeper?.isChanging != true -> running.remove(name)
+        }
+    }
+
+    /** Brings the row up to date with who serves: its deputies, or its holder if that is away. */
+    private fun renew(name: String, lease: GroupLease, version: Long, now: Instant) {
+        val last = claimedAt[name]
+        if (last != null && now - last < RENEWAL_INTERVAL) return
+        if (!lease.isHeldBy(around.own)) {
+            if (running[name]?.isSettled == true) claim(name, lease, version, now)
+            return
         }
+        val next = lease.withDeputies(around.candidates())
+        if (next != lease) write(name, lease, next, version, now)
     }
 
     /** The candidate that takes a free lease; spreads many groups over the entries. */
@@ -103,13 +106,24 @@
     private fun claim(name: String, lease: GroupLease?, version: Long, now: Instant) {
         val last = claimedAt[name]
         if (last != null && now - last < CLAIM_INTERVAL) return
-        claimedAt[name] = now
         val next = GroupLease(around.own.instance, around.own.incarnation, (lease?.term ?: 0) + 1)
+            .withDeputies(around.candidates())
+        write(name, lease, next, version, now)
+    }
+
+    private fun write(
+        name: String,
+        before: GroupLease?,
+        next: GroupLease,
+        version: Long,
+        now: Instant
+    ) {
+        claimedAt[name] = now
         around.log(
             logRecord(
                 LogEvent.GROUP_LEASE,
                 "group" to name,
-                "before" to lease,
+                "before" to before,
                 "claimed" to next,
                 "expected_version" to version
             )
@@ -119,15 +133,11 @@
         }
     }
 
-    private fun keep(name: String, group: KnownGroup, lease: GroupLease) {
-        val fence = lease.term * GroupKeeper.FENCES_PER_LEASE
+    private fun keep(name: String, group: KnownGroup, fence: Long) {
         val present = running[name]
-        val isSame = present != null &&
-            present.leaseFence == fence &&
-            present.state.ranks == group.ranks.size
-        if (isSame) {
+        if (present != null && present.state.ranks == group.ranks.size) {
             present.ranks = group.ranks
-            return
+            if (present.leaseFence == fence || present.continueUnder(fence)) return
         }
         val keeper = GroupKeeper(
             group = name,
@@ -179,8 +189,11 @@
         const val KEY_PREFIX = "group/"
         private val CHECK_INTERVAL = 200.milliseconds
 
-        /** Time for a claim to show in the copy of the table. */
-        private val CLAIM_INTERVAL = 3.seconds
+        /** Time for a claim to show in the copy of the table; calls to the store are priced. */
+        private val CLAIM_INTERVAL = 1.seconds
+
+        /** The row may follow the entries more slowly than the group is kept. */
+        private val RENEWAL_INTERVAL = 3.seconds
 
         private fun settingsFor(placement: PlacementProfile, ranks: Int) = GroupKeeperSettings(
             sampledRanks = ranks.coerceAtMost(MAX_SAMPLES),
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupLease.kt
@@ -0,0 +1,87 @@
+package org.shallotplank.gateway.group
+
+import kotlinx.serialization.Serializable
+import org.shallotplank.core.expertmap.GroupKeeper
+
+/** An entry that may keep groups. */
+@Serializable
+internal data class KeeperCandidate(val instance: String, val incarnation: Long)
+
+/**
+ * An entry that may keep a group while the holder of its lease does not serve.
+ *
+ * @property slot place in the succession, 1 or more; never given to another entry in one term.
+ */
+@Serializable
+internal data class GroupDeputy(val instance: String, val incarnation: Long, val slot: Int) {
+    val candidate: KeeperCandidate get() = KeeperCandidate(instance, incarnation)
+}
+
+/**
+ * Who keeps a group, as a row of the store says; [term] rises with each holder.
+ *
+ * The row also names deputies, so that a group is kept while the store is away. The holder and each
+ * deputy have fencing numbers of their own, a deputy's above those of all before it. Entries that
+ * disagree about who serves are therefore told apart by the ranks, as the holders of two terms are.
+ */
+@Serializable
+internal data class GroupLease(
+    val holder: String,
+    val incarnation: Long,
+    val term: Long,
+    val deputies: List<GroupDeputy> = emptyList()
+) {
+    private val holding: KeeperCandidate get() = KeeperCandidate(holder, incarnation)
+
+    /** Whether [candidate] holds the lease. */
+    fun isHeldBy(candidate: KeeperCandidate): Boolean = candidate == holding
+
+    /**
+     * The fencing number with which [candidate] keeps the group while [serving] entries serve, null
+     * if that is for another one to do.
+     */
+    fun fenceOf(candidate: KeeperCandidate, serving: Collection<KeeperCandidate>): Long? {
+        if (isHeldBy(candidate)) return fenceOf(slot = 0)
+        val deputy = deputies.find { it.candidate == candidate } ?: return null
+        val isBefore = holding in serving ||
+            deputies.any { it.slot < deputy.slot && it.candidate in serving }
+        return if (isBefore) null else fenceOf(deputy.slot)
+    }
+
+    /** Whether one of [serving] keeps the group under this lease. */
+    fun isServed(serving: Collection<KeeperCandidate>): Boolean = serving.any { candidate ->
+        isHeldBy(candidate) || deputies.any { it.candidate == candidate }
+    }
+
+    /**
+     * The same term with the entries of [serving] as deputies.
+     *
+     * Those that are named already keep their slots, and a slot that was left is not used again.
+     */
+    fun withDeputies(serving: Collection<KeeperCandidate>): GroupLease {
+        val kept = deputies.filter { it.candidate in serving }
+        val used = deputies.maxOfOrNull { it.slot } ?: 0
+        val added = serving
+            .filter { candidate -> candidate != holding && kept.none { it.candidate == candidate } }
+            .take((MAX_DEPUTIES - kept.size).coerceAtLeast(0))
+            .mapIndexed { index, added ->
+                GroupDeputy(added.instance, added.incarnation, used + 1 + index)
+            }
+            .filter { it.slot <= LAST_SLOT }
+        // The entry with the highest slot stays listed, so that its slot is not given again.
+        val left = deputies.filter { it.slot == used && it !in kept }
+        return copy(deputies = kept + left + added)
+    }
+
+    private fun fenceOf(slot: Int): Long =
+        term * GroupKeeper.FENCES_PER_LEASE + slot * FENCES_PER_SLOT
+
+    internal companion object {
+        /** Enough that some are left when a zone is lost. */
+        private const val MAX_DEPUTIES = 4
+
+        /** Fencing numbers of a holder or deputy; one is used for each change that it undoes. */
+        private const val FENCES_PER_SLOT = 500L
+        private const val LAST_SLOT = (GroupKeeper.FENCES_PER_LEASE / FENCES_PER_SLOT - 1).toInt()
+    }
+}
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
@@ -25,7 +25,11 @@
         private set
 
     /** The fencing number that the lease gave. */
-    val leaseFence: Long = initial.fence
+    var leaseFence: Long = initial.fence
+        private set
+
+    /** Whether the map is known and no change of it is under way. */
+    val isSettled: Boolean get() = state.stage is KeeperStage.Settled && !state.isFenced
 
     /** Whether ranks have orders of a change that is not complete. */
     val isChanging: Boolean
@@ -34,6 +38,18 @@
             else -> !state.isFenced
         }
 
+    /**
+     * Goes on under [fence], if it is higher and no order of the present one can be open.
+     *
+     * Returns whether it does.
+     */
+    fun continueUnder(fence: Long): Boolean {
+        if (!isSettled || fence <= state.fence) return false
+        state = state.copy(fence = fence)
+        leaseFence = fence
+        return true
+    }
+
     /** Follows the time. */
     fun tick(now: Instant) {
         reduce(GroupKeeperEvent.Tick, now)
--- /dev/null
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GroupLeaseTest.kt
@@ -0,0 +1,94 @@
+package org.shallotplank.gateway
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+import org.shallotplank.gateway.group.GroupLease
+import org.shallotplank.gateway.group.KeeperCandidate
+
+/** Load pattern: the keeper of a group goes while the store is away and demand moves on. */
+class GroupLeaseTest {
+    private val first = KeeperCandidate("e1", 11)
+    private val second = KeeperCandidate("e2", 21)
+    private val third = KeeperCandidate("e3", 31)
+    private val all = listOf(first, second, third)
+    private val lease = GroupLease("e1", 11, term = 3).withDeputies(all)
+
+    @Nested
+    inner class WhileTheHolderServes {
+        @Test
+        fun `no deputy keeps the group`() {
+            assertNotNull(lease.fenceOf(first, all))
+            assertNull(lease.fenceOf(second, all))
+            assertNull(lease.fenceOf(third, all))
+        }
+    }
+
+    @Nested
+    inner class OnceTheHolderIsAway {
+        @Test
+        fun `the first deputy that serves keeps it`() {
+            assertNotNull(lease.fenceOf(second, listOf(second, third)))
+            assertNull(lease.fenceOf(third, listOf(second, third)))
+            assertNotNull(lease.fenceOf(third, listOf(third)))
+        }
+
+        @Test
+        fun `a deputy that was started again does not`() {
+            val restarted = second.copy(incarnation = 22)
+
+            assertNull(lease.fenceOf(restarted, listOf(restarted)))
+            assertFalse(lease.isServed(listOf(restarted)))
+        }
+
+        @Test
+        fun `fencing numbers rise along the succession and to the next term`() {
+            val fences = listOf(
+                lease.fenceOf(first, listOf(first)),
+                lease.fenceOf(second, listOf(second)),
+                lease.fenceOf(third, listOf(third)),
+                GroupLease("e3", 31, term = 4).fenceOf(third, listOf(third))
+            ).map { assertNotNull(it) }
+
+            assertEquals(fences.sorted().distinct(), fences)
+        }
+    }
+
+    @Nested
+    inner class WhenEntriesComeAndGo {
+        @Test
+        fun `a slot is never given to another entry`() {
+            val fourth = KeeperCandidate("e4", 41)
+            val without = lease.withDeputies(listOf(first, second))
+            val changed = without.withDeputies(listOf(first, second, fourth))
+            val slots = (lease.deputies + changed.deputies)
+                .associate { it.slot to it.candidate }
+
+            assertEquals(slots.size, slots.values.toSet().size)
+            assertTrue((lease.deputies + changed.deputies).all { slots[it.slot] == it.candidate })
+        }
+
+        @Test
+        fun `those that stay keep their slots`() {
+            val changed = lease.withDeputies(listOf(first, third))
+
+            assertEquals(
+                lease.deputies.single { it.candidate == third },
+                changed.deputies.single { it.candidate == third }
+            )
+        }
+
+        @Test
+        fun `slots of one term come to an end`() {
+            val last = (0 until 200).fold(lease) { known, round ->
+                known.withDeputies(listOf(first, KeeperCandidate("x", round.toLong())))
+            }
+
+            assertTrue(last.deputies.all { it.slot < 20 })
+        }
+    }
+}
