Count the requests that ran in a slow pass, not those left after it

Cause: what each request adds to a pass was computed from the pause and the requests that run when it is told, 0.1 to 0.4 s after the pass began.

Change: the most that ran at the last three observations. Test: GatewayReducerTest, "counts by the requests that ran in the slow pass".

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/StreamPace.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/StreamPace.kt
@@ -4,7 +4,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import org.shallotplank.core.ServiceName
 
 /**
@@ -13,19 +16,39 @@
  * It remembers the worst of late: one long pause makes every stream late that runs through it, and
  * a change of demand that came once comes again.
  *
- * @property growth pause that one running request adds, at its worst and fading since.
+ * @property growth pause that one running request adds, at its worst and fading since; null before
+ *   it was observed.
  * @property at when it was last observed.
+ * @property recentlyRunning requests that ran at the last observations, the latest last.
  */
-public data class StreamPace(val growth: Duration, val at: Instant) {
+public data class StreamPace(
+    val growth: Duration? = null,
+    val at: Instant = Instant.DISTANT_PAST,
+    val recentlyRunning: PersistentList<Int> = persistentListOf()
+) {
+    /**
+     * Requests that may have run in the passes that are observed now.
+     *
+     * A pass is observed after its end, when fewer may run than did in it.
+     */
+    internal val mostRunning: Int get() = recentlyRunning.maxOrNull() ?: 0
+
+    internal fun withRunning(count: Int): StreamPace =
+        copy(recentlyRunning = (recentlyRunning + count).takeLast(SAMPLES).toPersistentList())
+
     internal fun after(observed: Duration, now: Instant): StreamPace {
+        val before = growth ?: observed
         val kept = exp(-((now - at) / FADE_TIME))
-        val faded = observed + (growth - observed) * kept
-        return StreamPace(maxOf(observed, faded), now)
+        val faded = observed + (before - observed) * kept
+        return copy(growth = maxOf(observed, faded), at = now)
     }
 
     private companion object {
         /** Two changes of demand fall into this time where demand changes every few seconds. */
         val FADE_TIME = 7.seconds
+
+        /** Observations come every 200 ms, and a pass of twice that is a stall. */
+        const val SAMPLES = 3
     }
 }
 
@@ -34,20 +57,19 @@
     context: GatewayContext
 ): GatewayStep {
     val next = pauses.entries.fold(paces) { known, (service, pause) ->
-        val growth = growthOf(service, pause) ?: return@fold known
-        val pace = known[service]?.after(growth, context.now) ?: StreamPace(growth, context.now)
-        known.put(service, pace)
+        val running = upstreamsOf(service).sumOf { it.totalOutstanding }
+        val pace = (known[service] ?: StreamPace()).withRunning(running)
+        val growth = growthOf(service, pause, pace.mostRunning)
+        known.put(service, growth?.let { pace.after(it, context.now) } ?: pace)
     }
     return copy(paces = next).resizeQueues(context)
 }
 
-/** What each request adds to a [pause] that was observed, null if it says nothing about that. */
-private fun GatewayState.growthOf(service: ServiceName, pause: Duration): Duration? {
+/** What each of [running] requests adds to a [pause], null if it says nothing about that. */
+private fun GatewayState.growthOf(service: ServiceName, pause: Duration, running: Int): Duration? {
     val engine = service(service)?.engine ?: return null
     val longest = routesInForce.longestPauses[service] ?: return null
-    val members = upstreamsOf(service)
-    val running = members.sumOf { it.totalOutstanding }
-    val slots = members.sumOf { it.record.slots }
+    val slots = upstreamsOf(service).sumOf { it.record.slots }
     val isTelling = running >= slots * OBSERVED_SHARE && pause <= longest * STALL_PAUSES
     val grown = pause - engine.stepTime * engine.eventStride
     return (grown / running.coerceAtLeast(1)).takeIf { isTelling && grown > Duration.ZERO }
@@ -60,11 +82,11 @@
  * all [slots].
  */
 internal fun GatewayState.placesAtPace(service: ServiceName, slots: Int): Int {
-    val pace = paces[service] ?: return slots
+    val growth = paces[service]?.growth ?: return slots
     val engine = service(service)?.engine ?: return slots
     val longest = routesInForce.longestPauses[service] ?: return slots
     val fixed = engine.stepTime * engine.eventStride
-    val places = (longest * PAUSE_SHARE - fixed) / pace.growth
+    val places = (longest * PAUSE_SHARE - fixed) / growth
     return places.toInt().coerceIn((slots * LEAST_SHARE).toInt().coerceAtLeast(1), slots)
 }
 
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
@@ -221,6 +221,17 @@
             assertEquals(20, state.placesAtPace(testService, slots = 20))
         }
 
+        @Test
+        fun `counts by the requests that ran in the slow pass, not by those left after it`() {
+            serve(listedUpstream("u", slots = 20), table = testTable(engine = engine))
+            val sends = List(20) { sent("$it", RequestKind.STREAM) }
+            observe(60.milliseconds)
+            val before = state.placesAtPace(testService, slots = 20)
+            sends.take(10).forEach { emit(answered(it)) }
+            observe(60.milliseconds)
+            assertEquals(before, state.placesAtPace(testService, slots = 20))
+        }
+
         private fun observe(pause: Duration) {
             emit(GatewayEvent.PausesObserved(persistentMapOf(testService to pause)))
         }
