Leave a group alone whose layers are even on the whole

Cause: between two jumps of demand the keeper changed the map for one uneven layer several times, at a mean slowness of 1.16 to 1.25.

Ruled out: that these changes shorten passes enough to matter (1.24 to 1.15 is 6%).

Change: no change below a mean slowness of 1.25. Test: GroupPlanningTest, which fails without it.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
@@ -16,7 +16,8 @@
     val present = map ?: return Step(this)
     val looked = copy(plannedAt = now, plannedJumps = demand.jumps)
     if (!demand.isSettled) return Step(looked)
-    val plan = planFor(present) ?: return Step(looked)
+    val plan = planFor(present)?.takeIf { it.slownessBefore >= START_SLOWNESS }
+        ?: return Step(looked)
     val version = nextVersion()
     val next = GroupMap.of(plan.map, placement.expertsPerLayer)
     val record = logRecord(
@@ -64,6 +65,12 @@
 /** Copies are priced; below this a layer is left alone, as the demand changes within seconds. */
 private const val TRIGGER_SLOWNESS = 1.3
 
+/**
+ * Mean slowness of the layers below which nothing is changed: ranks that copy are 15% slower, and a
+ * change that has begun delays the one for the next jump of demand.
+ */
+private const val START_SLOWNESS = 1.25
+
 /** A changed layer is improved up to here. */
 private const val GOAL_SLOWNESS = 1.06
 
