Log when an entry begins or ends to keep a group

Cause: deputies begin without a write to the store, so that no line told who keeps a group; SP4006 only tells who asks for the lease.

Change: SP4007 with the fencing number and the entries that serve. Leaving a group is in one function.

Conclusion: on call sees who keeps a group while the store is away.

--- a/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
@@ -44,6 +44,7 @@
     GROUP_MAP_IN_FORCE(4004, Severity.INFO, "expert map in force on all ranks"),
     GROUP_FORMED_ANEW(4005, Severity.WARN, "rank group broke or formed anew"),
     GROUP_LEASE(4006, Severity.INFO, "lease of a rank group changed hands"),
+    GROUP_KEEPING(4007, Severity.INFO, "keeping of a rank group began or ended"),
     GATEWAY_REJECTED(5001, Severity.INFO, "request ended before admission"),
     GATEWAY_QUEUED(5002, Severity.INFO, "request waits for a place"),
     GATEWAY_SENT(5003, Severity.INFO, "attempt sent to an upstream"),
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -56,7 +56,7 @@
         checkedAt = now
         val groups = knownGroups()
         // A change that is under way goes on while a rank is missing from the list.
-        running.entries.removeAll { (name, keeper) -> name !in groups && !keeper.isChanging }
+        (running.keys - groups.keys).forEach(::leave)
         groups.forEach { (name, group) -> check(name, group, now) }
         port.keepOnly(running.values.flatMap { it.ranks.values }.toSet())
     }
@@ -68,8 +68,7 @@
         val fence = lease?.fenceOf(around.own, candidates)
         val keeper = running[name]
         if (lease == null || fence == null) {
-            // A change that is under way is completed, unless the ranks hear of a higher number.
-            if (keeper?.isChanging != true) running.remove(name)
+            leave(name)
             val isServed = lease?.isServed(candidates) == true
             if (!isServed && around.own == preferred(name, candidates)) {
                 claim(name, lease, row?.version ?: 0, now)
@@ -83,10 +82,28 @@
                 keep(name, group, fence)
                 renew(name, lease, row.version, now)
             }
-            keeper?.isChanging != true -> running.remove(name)
+            else -> leave(name)
         }
     }
 
+    /** A change that is under way is completed, unless the ranks hear of a higher number. */
+    private fun leave(name: String) {
+        val keeper = running[name] ?: return
+        if (keeper.isChanging) return
+        running.remove(name)
+        logKeeping(name, keeper.leaseFence, isKept = false)
+    }
+
+    private fun logKeeping(name: String, fence: Long, isKept: Boolean) = around.log(
+        logRecord(
+            LogEvent.GROUP_KEEPING,
+            "group" to name,
+            "keeps" to isKept,
+            "fence" to fence,
+            "serving" to around.candidates().joinToString(",") { it.instance }
+        )
+    )
+
     /** Brings the row up to date with who serves: its deputies, or its holder if that is away. */
     private fun renew(name: String, lease: GroupLease, version: Long, now: Instant) {
         val last = claimedAt[name]
@@ -137,8 +154,10 @@
         val present = running[name]
         if (present != null && present.state.ranks == group.ranks.size) {
             present.ranks = group.ranks
-            if (present.leaseFence == fence || present.continueUnder(fence)) return
+            if (present.leaseFence == fence) return
+            if (present.continueUnder(fence)) return logKeeping(name, fence, isKept = true)
         }
+        logKeeping(name, fence, isKept = true)
         val keeper = GroupKeeper(
             group = name,
             fence = fence,
