Wait until an entry has seen a publication before the platform goes down

The logs show that version 8 was in force at no process: the outage began at 08:08:14.4, and no process had read the table since its acceptance. What no process has seen, none can follow.

Change: the test waits until an entry acts on the new version, and not for one second; the outage then begins at once, so that the others have to learn it without the platform. Its bound is as before. versionAt is in one place.

Conclusion: a fault of the test's wait.

--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/proof/ConfigurationInForceTest.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/proof/ConfigurationInForceTest.kt
@@ -21,7 +21,6 @@
 import org.shallotplank.integrationtest.cluster.EntryNode
 import org.shallotplank.integrationtest.proof.CallOutcome.Answered
 import org.shallotplank.integrationtest.proxy.ProxyFault
-import org.shallotplank.runtime.admin.ProcessStatus
 import org.shallotplank.runtime.configuration.Publication
 import org.shallotplank.runtime.configuration.Publisher
 import org.shallotplank.runtime.platform.PlatformPorts
@@ -68,7 +67,7 @@
     }
 
     private suspend fun versionAt(adminUrl: String): ConfigurationVersion =
-        system.caller.get<ProcessStatus>("$adminUrl/status").configurationVersion
+        system.versionAt(adminUrl)
 
     private fun adminUrls(): List<String> =
         (system.entries.map { it.process } + system.upstreams.map { it.process })
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/proof/NoNewWorkTest.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/proof/NoNewWorkTest.kt
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.TestInstance
+import org.shallotplank.core.ConfigurationVersion
 import org.shallotplank.integrationtest.EngineSettings
 import org.shallotplank.integrationtest.PlatformFaults
 import org.shallotplank.integrationtest.cluster.UpstreamKind
@@ -75,13 +76,18 @@
         fun `while all is well`(): Unit = proveZone()
 
         @Test
-        fun `while the platform is down after the publication was seen`(): Unit = proveZone(
-            afterPublish = {
-                delay(1.seconds)
-                platform.inject(PlatformFaults(outage = true))
-            },
-            heal = { platform.inject(PlatformFaults(outage = false)) }
-        )
+        fun `while the platform is down after the publication was seen`() {
+            val seeing = system.entries.first().process.adminUrl
+            var before = ConfigurationVersion.None
+            proveZone(
+                beforePublish = { before = system.versionAt(seeing) },
+                afterPublish = {
+                    awaitUntil("an entry sees it") { system.versionAt(seeing) > before }
+                    platform.inject(PlatformFaults(outage = true))
+                },
+                heal = { platform.inject(PlatformFaults(outage = false)) }
+            )
+        }
 
         @Test
         fun `while an entry is cut off from the platform`() {
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/proof/ProofSystem.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/proof/ProofSystem.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.shallotplank.core.ConfigurationVersion
 import org.shallotplank.core.ServiceName
 import org.shallotplank.integrationtest.ExecutionReport
 import org.shallotplank.integrationtest.GenerationRequest
@@ -31,6 +32,7 @@
 import org.shallotplank.integrationtest.cluster.UpstreamNode
 import org.shallotplank.integrationtest.harness.CommandResult
 import org.shallotplank.integrationtest.standInJson
+import org.shallotplank.runtime.admin.ProcessStatus
 
 /** "A few seconds", after which a zone or upstream that leaves gets no new work. */
 internal val A_FEW_SECONDS: Duration = 5.seconds
@@ -97,6 +99,10 @@
         return cluster.harness.run(*arguments.toTypedArray())
     }
 
+    /** The configuration that the process behind [adminUrl] acts on. */
+    suspend fun versionAt(adminUrl: String): ConfigurationVersion =
+        caller.get<ProcessStatus>("$adminUrl/status").configurationVersion
+
     /** Asks the order app to run a non-idempotent operation. */
     suspend fun book(
         key: String,
