--- a/cli/src/main/kotlin/org/shallotplank/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/org/shallotplank/cli/ExplainCommand.kt
@@ -19,7 +19,7 @@
         "Print the story of one request from the logs of all gateway entries."
 
     override fun run() {
-        val story = RequestStory.read(id, files.map { LogFile(it.toString(), it) })
+        val story = RequestStory.read(id, files.map { LogFile(it) })
         if (story.lines.isEmpty()) {
             fail(ExitStatus.FAILED, "no line of the files names $id")
         }
@@ -28,7 +28,7 @@
     }
 
     /** One log file, read line by line. */
-    private class LogFile(override val name: String, private val path: Path) : LogSource {
+    private class LogFile(private val path: Path) : LogSource {
         override fun <T> useLines(block: (Sequence<String>) -> T): T = path.useLines { block(it) }
     }
 }
--- a/cli/src/main/kotlin/org/shallotplank/cli/RequestStory.kt
+++ b/cli/src/main/kotlin/org/shallotplank/cli/RequestStory.kt
@@ -8,8 +8,6 @@
 
 /** Lines of one log. */
 internal interface LogSource {
-    val name: String
-
     fun <T> useLines(block: (Sequence<String>) -> T): T
 }
 
--- a/cli/src/test/kotlin/org/shallotplank/cli/RequestStoryTest.kt
+++ b/cli/src/test/kotlin/org/shallotplank/cli/RequestStoryTest.kt
@@ -48,8 +48,6 @@
             "\"request\":\"$request\",$rest}"
 
     private fun log(vararg lines: String) = object : LogSource {
-        override val name = "log"
-
         override fun <T> useLines(block: (Sequence<String>) -> T): T = block(lines.asSequence())
     }
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
@@ -56,12 +56,8 @@
     public data object Queued : GatewayPhase
 
     /** An attempt is with [upstream]. */
-    public data class Sent(
-        val attempt: Int,
-        val upstream: UpstreamKey,
-        val sentAt: Instant,
-        val hasHead: Boolean = false
-    ) : GatewayPhase
+    public data class Sent(val attempt: Int, val upstream: UpstreamKey, val sentAt: Instant) :
+        GatewayPhase
 }
 
 /** One incarnation of an upstream. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -3,7 +3,7 @@
 import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.persistentListOf
 import org.shallotplank.core.ServiceName
 import org.shallotplank.core.Step
 import org.shallotplank.core.admission.AdmissionDecision
@@ -110,7 +110,7 @@
     )
     return Step(
         put(sent).update(chosen.key) { it.sent(context.now) },
-        listOf(send, GatewayEffect.Log(record)).toPersistentList()
+        persistentListOf(send, GatewayEffect.Log(record))
     )
 }
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
@@ -71,9 +71,6 @@
     /** It crashed the upstreams that ran it. */
     QUARANTINED,
 
-    /** No retry is allowed. */
-    RETRIES_SPENT,
-
     /** The upstreams refused it. */
     UPSTREAM_REFUSED,
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -19,7 +19,13 @@
     return if (sent.attempt == attempt) OpenAttempt(call, sent) else null
 }
 
-private class OpenAttempt(val call: GatewayCall, val sent: GatewayPhase.Sent)
+private class OpenAttempt(val call: GatewayCall, val sent: GatewayPhase.Sent) {
+    /** The call without this attempt, for which another upstream has to be found. */
+    fun callWithoutIt(): GatewayCall = call.copy(
+        phase = GatewayPhase.Queued,
+        excluded = call.excluded.add(sent.upstream.id)
+    )
+}
 
 internal fun GatewayState.onConnectFailed(
     event: GatewayEvent.ConnectFailed,
@@ -28,11 +34,9 @@
     val open = open(event.requestId, event.attempt) ?: return Step(this)
     val record = attemptFailed(open, "connect_${event.cause.name.lowercase()}", context.now)
     val isUpstreams = event.cause != ConnectFailure.LOCAL_LIMIT
-    val call = open.call.copy(
-        phase = GatewayPhase.Queued,
+    val call = open.callWithoutIt().copy(
         attemptsSent = open.call.attemptsSent - 1,
-        connectFailures = open.call.connectFailures + 1,
-        excluded = open.call.excluded.add(open.sent.upstream.id)
+        connectFailures = open.call.connectFailures + 1
     )
     val marked = put(call).update(open.sent.upstream) {
         if (isUpstreams) it.ended().failed(context.now) else it.ended()
@@ -52,10 +56,7 @@
 ): GatewayStep {
     val open = open(event.requestId, event.attempt) ?: return Step(this)
     val record = attemptFailed(open, "not_run_${event.status}", context.now)
-    val call = open.call.copy(
-        phase = GatewayPhase.Queued,
-        excluded = open.call.excluded.add(open.sent.upstream.id)
-    )
+    val call = open.callWithoutIt()
     val marked = put(call).update(open.sent.upstream) {
         when {
             event.isMisdirected -> it.ended().copy(misdirectedAddress = it.record.address)
@@ -72,7 +73,7 @@
 ): GatewayState {
     val open = open(event.requestId, event.attempt) ?: return this
     val load = event.load
-    return put(open.call.copy(phase = open.sent.copy(hasHead = true))).update(open.sent.upstream) {
+    return update(open.sent.upstream) {
         val answered = it.answered(now)
         val isFull = load != null && load.waiting > 0 && load.running >= load.slots
         if (isFull) answered.copy(fullUntil = now + FULL_TIME) else answered
@@ -95,10 +96,7 @@
         mayTryAgain(call, context)
     if (!isWorthRetrying) return effect(GatewayEffect.DeliverHeld(event.requestId))
     val record = attemptFailed(open, "status_${event.status}", context.now)
-    val again = call.copy(
-        mayHaveRun = true,
-        excluded = call.excluded.add(open.sent.upstream.id)
-    )
+    val again = open.callWithoutIt().copy(mayHaveRun = true)
     val candidate = put(again).update(open.sent.upstream) { it.ended() }
     val retried = candidate.logged(record).then { it.retry(again, context) }
     val isSent = retried.effects.any { it is GatewayEffect.Send }
@@ -144,11 +142,7 @@
     context: GatewayContext
 ): GatewayStep {
     val record = attemptFailed(open, cause.name.lowercase(), context.now)
-    val call = open.call.copy(
-        phase = GatewayPhase.Queued,
-        mayHaveRun = true,
-        excluded = open.call.excluded.add(open.sent.upstream.id)
-    )
+    val call = open.callWithoutIt().copy(mayHaveRun = true)
     val isLost = cause == AttemptFailure.CONNECTION_LOST
     val suspect =
         Suspect(call.fingerprint, AttemptId("${call.request.id}.${open.sent.attempt}"), context.now)
--- a/core/src/main/kotlin/org/shallotplank/core/placement/ExpertPopularity.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/ExpertPopularity.kt
@@ -29,11 +29,8 @@
      */
     public fun plus(tokens: List<IntArray>, now: Instant, halfLife: Duration): ExpertPopularity {
         if (!hasShapeOf(tokens)) return this
-        val decay = decayFactor(now, halfLife)
-        val counts = countsByLayer.mapIndexed { layer, old ->
-            DoubleArray(old.size) { expert -> old[expert] * decay + tokens[layer][expert] }
-        }
-        return ExpertPopularity(counts, now)
+        val counts = tokens.map { layer -> DoubleArray(layer.size) { layer[it].toDouble() } }
+        return plus(ExpertPopularity(counts, now), halfLife)
     }
 
     /** Adds the [tokens] to counts that do not decay. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
@@ -28,7 +28,7 @@
         HttpEndpoint(group, settings.directoryAddress, ::entries).start()
         HttpEndpoint(group, settings.peerAddress, ::peer).start()
         val metricsAddress = settings.listenAddress.copy(port = settings.metricsPort)
-        HttpEndpoint(group, metricsAddress, ::metrics).start()
+        HttpEndpoint(group, metricsAddress) { scrape() }.start()
         metrics.gauge(GatewayMetric.STORE_AGE) {
             beliefs.storeAge.toDouble(DurationUnit.SECONDS)
         }
@@ -44,10 +44,8 @@
         if (request.path != wire.directoryPath) return HttpReply(NOT_FOUND)
         val addresses = beliefs.servingEntries().take(MAX_ADDRESSES)
         if (addresses.isEmpty()) return HttpReply(UNAVAILABLE)
-        val ttlSeconds = settings.entryListTtl.coerceAtMost(
-            MAX_LIST_TTL
-        ).toDouble(DurationUnit.SECONDS)
-        return HttpReply(OK, wire.entryList(addresses, ttlSeconds))
+        val ttl = settings.entryListTtl.coerceAtMost(MAX_LIST_TTL)
+        return HttpReply(OK, wire.entryList(addresses, ttl.toDouble(DurationUnit.SECONDS)))
     }
 
     @OptIn(ExperimentalSerializationApi::class)
@@ -65,9 +63,7 @@
         else -> HttpReply(NOT_FOUND)
     }
 
-    @Suppress("UNUSED_PARAMETER")
-    private fun metrics(request: EndpointRequest): HttpReply =
-        HttpReply(OK, metrics.scrape().toByteArray(), HttpCall.TEXT)
+    private fun scrape(): HttpReply = HttpReply(OK, metrics.scrape().toByteArray(), HttpCall.TEXT)
 
     private companion object {
         const val OK = 200
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
@@ -216,7 +216,7 @@
         channel.close()
     }
 
-    /** Closes the connection if it is idle, or lets its answer be the last one. */
+    /** Closes the connection if it is idle. */
     fun closeWhenIdle() {
         if (!isAnswerOpen && head == null && headerStartedAt == null) {
             isClosing = true
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -49,12 +49,16 @@
     private val claimedAt = HashMap<String, Instant>()
     private var checkedAt: Instant = Instant.DISTANT_PAST
 
+    /** Entries that served at the last check. */
+    private var serving: Collection<KeeperCandidate> = emptyList()
+
     /** Follows the time and the list of upstreams. */
     fun tick(now: Instant) {
         running.values.forEach { it.tick(now) }
         if (now - checkedAt < CHECK_INTERVAL) return
         checkedAt = now
         val groups = knownGroups()
+        serving = around.candidates()
         // A change that is under way goes on while a rank is missing from the list.
         (running.keys - groups.keys).forEach(::leave)
         groups.forEach { (name, group) -> check(name, group, now) }
@@ -64,13 +68,12 @@
     private fun check(name: String, group: KnownGroup, now: Instant) {
         val row = around.replica().row(KEY_PREFIX + name)
         val lease = row?.let { decode(it.value) }
-        val candidates = around.candidates()
-        val fence = lease?.fenceOf(around.own, candidates)
+        val fence = lease?.fenceOf(around.own, serving)
         val keeper = running[name]
         if (lease == null || fence == null) {
             leave(name)
-            val isServed = lease?.isServed(candidates) == true
-            if (!isServed && around.own == preferred(name, candidates)) {
+            val isServed = lease?.isServed(serving) == true
+            if (!isServed && around.own == preferred(name)) {
                 claim(name, lease, row?.version ?: 0, now)
             }
             return
@@ -78,7 +81,7 @@
         when {
             keeper?.leaseFence == fence && keeper.state.isFenced ->
                 claim(name, lease, row.version, now)
-            around.own in candidates -> {
+            around.own in serving -> {
                 keep(name, group, fence)
                 renew(name, lease, row.version, now)
             }
@@ -100,7 +103,7 @@
             "group" to name,
             "keeps" to isKept,
             "fence" to fence,
-            "serving" to around.candidates().joinToString(",") { it.instance }
+            "serving" to serving.joinToString(",") { it.instance }
         )
     )
 
@@ -112,19 +115,19 @@
             if (running[name]?.isSettled == true) claim(name, lease, version, now)
             return
         }
-        val next = lease.withDeputies(around.candidates())
+        val next = lease.withDeputies(serving)
         if (next != lease) write(name, lease, next, version, now)
     }
 
     /** The candidate that takes a free lease; spreads many groups over the entries. */
-    private fun preferred(name: String, candidates: Collection<KeeperCandidate>): KeeperCandidate? =
-        candidates.minByOrNull { "$name ${it.instance}".hashCode() }
+    private fun preferred(name: String): KeeperCandidate? =
+        serving.minByOrNull { "$name ${it.instance}".hashCode() }
 
     private fun claim(name: String, lease: GroupLease?, version: Long, now: Instant) {
         val last = claimedAt[name]
         if (last != null && now - last < CLAIM_INTERVAL) return
         val next = GroupLease(around.own.instance, around.own.incarnation, (lease?.term ?: 0) + 1)
-            .withDeputies(around.candidates())
+            .withDeputies(serving)
         write(name, lease, next, version, now)
     }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -56,7 +56,7 @@
     private var mode = AnswerMode.HELD
     private var heldBytes = Unpooled.compositeBuffer(MAX_HELD_PARTS)
     private val events = EventSplitter()
-    private var startedAt: Instant = context.clock.now()
+    private val startedAt: Instant = context.clock.now()
     private var firstEvent: Duration? = null
     private var longestPause: Duration? = null
     private var lastEventAt: Instant? = null
@@ -70,13 +70,8 @@
 
     val attemptNumber: Int get() = number
 
-    /** Sends [request] on [connection]. */
+    /** Sends [request] on [connection]; the attempt has to be running still. */
     fun start(connection: UpstreamConnection, request: FullHttpRequest) {
-        if (isOver) {
-            request.release()
-            context.pool.release(target, connection)
-            return
-        }
         this.connection = connection
         lastProgressAt = context.clock.now()
         connection.send(request, this)
