Plan larger maps sooner: rounds end with the last answer, loads by copy time

At 129 ranks two copies leave the slowest rank at 1.55 times the mean, eight at 1.13, and the search of whole layers took 220 to 430 ms for that on the entry's only thread.

Change: a round ends with its last answer and a jump is planned for at once; copies for 200 ms at most, up to eight a rank and the published spare of each layer; LayerRelief weighs only replicas for groups of 32 ranks and more (95 to 120 ms for the same plan); counts tell that a switch is through; ranks that copy a long map are asked for a report instead of being told the map again, and the map is encoded once for all ranks; orders without an answer are repeated at once.

Ruled out: a search for replicas on the least loaded place of each rank only (stuck at 1.6 to 1.8).

Tests: GroupKeeperTest (prepared for after two rounds), MapPlannerTest.APlanForManyRanks.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -50,6 +50,8 @@
     val demand: GroupDemand =
         GroupDemand.unknown(placement.layers, placement.expertsPerLayer),
     val counts: PersistentMap<Int, PersistentList<Long>> = persistentMapOf(),
+    /** Ranks whose counts of the present round have not come yet. */
+    val awaitedCounts: PersistentSet<Int> = persistentSetOf(),
     /** The highest pass that is known to have begun. */
     val latestStep: Long = 0,
     val reportsAskedAt: Instant = Instant.DISTANT_PAST,
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -15,7 +15,8 @@
 /** Reduces one event of a group's keeper. */
 public fun GroupKeeper.on(event: GroupKeeperEvent, now: Instant): GroupKeeperStep = when (event) {
     is GroupKeeperEvent.Reported -> onReported(event, now)
-    is GroupKeeperEvent.Counted -> onCounted(event, now).concludeSwitch(now)
+    is GroupKeeperEvent.Counted ->
+        onCounted(event, now).concludeSwitch(now).then { it.planIfDemandJumped(now) }
     is GroupKeeperEvent.Listed -> onListed(event)
     is GroupKeeperEvent.Answered -> onAnswered(event, now)
     GroupKeeperEvent.Tick -> onTick(now)
@@ -36,6 +37,12 @@
         is KeeperStage.Surveying -> kept.concludeSurvey(present, now)
         is KeeperStage.Settled -> kept.checkUndisturbed(report, now)
         is KeeperStage.Switching -> kept.concludeSwitch(now)
+        is KeeperStage.Preparing ->
+            if (report.preparedVersion == present.version) {
+                kept.onPrepared(present, event.rank, now)
+            } else {
+                Step(kept)
+            }
         else -> Step(kept)
     }
 }
@@ -161,13 +168,36 @@
         counts = counts.put(event.rank, event.counts),
         latestStep = maxOf(latestStep, event.step)
     )
-    if (before == null) return known
+    return (
+        if (before ==
+            null
+        ) {
+            known
+        } else {
+            known.addTokens(before, event, now)
+        }
+        ).noteAnswer(event.rank)
+}
+
+/** Ends the round once the last rank that was asked has answered. */
+private fun GroupKeeper.noteAnswer(rank: Int): GroupKeeper {
+    if (rank !in awaitedCounts) return this
+    val noted = copy(awaitedCounts = awaitedCounts.remove(rank))
+    return if (noted.awaitedCounts.isEmpty()) noted.endRound() else noted
+}
+
+private fun GroupKeeper.addTokens(
+    before: List<Long>,
+    event: GroupKeeperEvent.Counted,
+    now: Instant
+): GroupKeeper {
+    val size = before.size
     val chosen = IntArray(size) { (event.counts[it] - before[it]).coerceIn(0, MAX_COUNT).toInt() }
     val byLayer = List(placement.layers) { layer ->
         val from = layer * placement.expertsPerLayer
         chosen.copyOfRange(from, from + placement.expertsPerLayer)
     }
-    return known.copy(demand = demand.plus(byLayer, now))
+    return copy(demand = demand.plus(byLayer, now))
 }
 
 private fun GroupKeeper.onListed(event: GroupKeeperEvent.Listed): GroupKeeperStep {
@@ -206,11 +236,17 @@
         OrderOutcome.BEGUN -> logged.map { it.noteBegun(event) }
         OrderOutcome.CONFLICT -> logged.then { it.onConflict(event, now) }
         OrderOutcome.FENCED -> logged.map { it.copy(isFenced = true) }
-        // Repeated at a later tick, while it is still wanted.
-        OrderOutcome.NO_ANSWER -> logged.map { it.copy(orderLostAt = now) }
+        OrderOutcome.NO_ANSWER -> logged.then { it.copy(orderLostAt = now).repeatIfDue(now) }
     }
 }
 
+/** Gives the orders that are still wanted again, rather than to wait for the next tick. */
+private fun GroupKeeper.repeatIfDue(now: Instant): GroupKeeperStep {
+    val isDue = stage.givesOrders() && now >= reportsAskedAt + LOST_ORDER_INTERVAL
+    if (!isDue) return Step(this)
+    return Step(copy(reportsAskedAt = now), wanted(now).toPersistentList())
+}
+
 private fun GroupKeeper.noteBegun(event: GroupKeeperEvent.Answered): GroupKeeper {
     val preparing = stage as? KeeperStage.Preparing ?: return this
     if (!event.order.isPrepareOf(preparing.version)) return this
@@ -312,3 +348,6 @@
 
 /** A report may be this old when it comes. */
 internal val REPORT_LAG: Duration = 600.milliseconds
+
+/** Bounds the orders to a rank whose connections fail at once. */
+private val LOST_ORDER_INTERVAL = 30.milliseconds
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperStages.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperStages.kt
@@ -1,5 +1,6 @@
 package org.shallotplank.core.expertmap
 
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.collections.immutable.toPersistentList
 import org.shallotplank.core.Step
@@ -53,19 +54,19 @@
     is KeeperStage.ReadingMap ->
         allRanks.filter { it !in present.known }.map { GroupKeeperEffect.ReadMap(it) }
     is KeeperStage.Settled -> emptyList()
-    is KeeperStage.Preparing -> {
-        val order = RankOrder.Prepare(present.version, present.map)
-        val waiting = if (now < present.expectedAt) present.begun else emptySet()
-        allRanks.filter { it !in present.prepared && it !in waiting }.map { give(it, order) }
-    }
+    is KeeperStage.Preparing -> preparingWants(present, now)
     is KeeperStage.Holding -> listOf(give(HOLDING_RANK, RankOrder.Hold(present.step)))
     is KeeperStage.Arming -> {
         val order = RankOrder.Arm(present.version, present.step)
         allRanks.filter { it !in present.armed }.map { give(it, order) }
     }
     is KeeperStage.Releasing -> listOf(give(HOLDING_RANK, RankOrder.Release(present.step)))
-    // All ranks are armed, so that one of them tells for all.
-    is KeeperStage.Switching -> listOf(GroupKeeperEffect.ReadReport(HOLDING_RANK))
+    // All ranks are armed, so that one of them tells for all. Counts are never old, but are not to
+    // be had while the rank's relay is away.
+    is KeeperStage.Switching -> listOf(
+        GroupKeeperEffect.ReadCounts(HOLDING_RANK),
+        GroupKeeperEffect.ReadReport(HOLDING_RANK)
+    )
     is KeeperStage.Undoing -> {
         val open = present.stepByHeldRank.filterKeys { it !in present.heldAgain }
         if (open.isNotEmpty()) {
@@ -79,8 +80,35 @@
         present.stepByRank.map { (rank, step) -> give(rank, RankOrder.Release(step)) }
 }
 
+/** Where the map is long, ranks that copy it are asked for reports and not told again. */
+private fun GroupKeeper.preparingWants(
+    present: KeeperStage.Preparing,
+    now: Instant
+): List<GroupKeeperEffect> {
+    val order = RankOrder.Prepare(present.version, present.map)
+    val areCopiesDue = now >= present.expectedAt
+    val isOverdue = now >= present.expectedAt + COPIES_OVERDUE
+    return allRanks.filter { it !in present.prepared }.mapNotNull { rank ->
+        when {
+            isOverdue || rank !in present.begun -> give(rank, order)
+            !areCopiesDue -> null
+            isMapLong -> GroupKeeperEffect.ReadReport(rank)
+            else -> give(rank, order)
+        }
+    }
+}
+
+private val GroupKeeper.isMapLong: Boolean
+    get() = placement.layers * placement.slotsPerRank * ranks > LONG_MAP_SLOTS
+
 private fun GroupKeeper.give(rank: Int, order: RankOrder): GroupKeeperEffect =
     GroupKeeperEffect.Give(rank, order, epoch, fence)
 
 /** Rank at which the group is held; any would do, as all ranks begin each pass together. */
 internal const val HOLDING_RANK = 0
+
+/** A rank whose copies take longer than expected by this may have lost the order. */
+private val COPIES_OVERDUE = 1.seconds
+
+/** A map of more places takes over 4 KB, which each rank gets. */
+private const val LONG_MAP_SLOTS = 1_000
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
 import org.shallotplank.core.Step
 import org.shallotplank.core.then
 
@@ -15,9 +16,25 @@
 
 private fun GroupKeeper.countIfDue(now: Instant): GroupKeeperStep {
     if (epoch == 0L || now - countsAskedAt < settings.countInterval) return Step(this)
-    val asked = sampledRanks().map { GroupKeeperEffect.ReadCounts(it) }
-    val known = demand.endRound(settings.popularityHalfLife)
-    return Step(copy(demand = known, countsAskedAt = now), asked.toPersistentList())
+    val ranks = sampledRanks()
+    // A round that some rank did not answer ends here.
+    val known = if (awaitedCounts.isEmpty()) this else endRound()
+    val asked = ranks.map { GroupKeeperEffect.ReadCounts(it) }
+    return Step(
+        known.copy(awaitedCounts = ranks.toPersistentSet(), countsAskedAt = now),
+        asked.toPersistentList()
+    )
+}
+
+internal fun GroupKeeper.endRound(): GroupKeeper =
+    copy(demand = demand.endRound(settings.popularityHalfLife))
+
+/** Plans at once for a demand that has just jumped, unless ranks are being switched. */
+internal fun GroupKeeper.planIfDemandJumped(now: Instant): GroupKeeperStep {
+    val isFree = stage is KeeperStage.Settled || stage is KeeperStage.Preparing
+    if (!isFree || isFenced || demand.jumps == plannedJumps) return Step(this)
+    // Nothing is armed yet, and a higher version may be prepared at any time.
+    return copy(stage = KeeperStage.Settled).plan(now)
 }
 
 private fun GroupKeeper.stageTick(now: Instant): GroupKeeperStep {
@@ -27,9 +44,7 @@
         present is KeeperStage.Settled -> onSettledTick(now)
         isPreparing && now - present.since > PREPARE_TIMEOUT ->
             enter(KeeperStage.Surveying(now), now)
-        // Nothing is armed yet, and a higher version may be prepared at any time.
-        isPreparing && demand.jumps != plannedJumps ->
-            copy(stage = KeeperStage.Settled).plan(now)
+        isPreparing && demand.jumps != plannedJumps -> planIfDemandJumped(now)
         now < nextWantedAt(present) -> Step(this)
         else -> Step(copy(reportsAskedAt = now), wanted(now).toPersistentList())
     }
@@ -38,7 +53,7 @@
 /** When the questions and orders of [present] are to be repeated. */
 private fun GroupKeeper.nextWantedAt(present: KeeperStage): Instant = when {
     present is KeeperStage.Preparing -> nextPrepareAt(present)
-    present.givesOrders() -> reportsAskedAt + ORDER_INTERVAL
+    present.givesOrders() || present is KeeperStage.Switching -> reportsAskedAt + ORDER_INTERVAL
     else -> reportsAskedAt + SURVEY_INTERVAL
 }
 
@@ -50,7 +65,7 @@
     return maxOf(reportsAskedAt + PREPARE_INTERVAL, present.expectedAt)
 }
 
-private fun KeeperStage.givesOrders(): Boolean = when (this) {
+internal fun KeeperStage.givesOrders(): Boolean = when (this) {
     is KeeperStage.Holding, is KeeperStage.Arming, is KeeperStage.Releasing,
     is KeeperStage.Undoing, is KeeperStage.LettingGo -> true
     else -> false
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
@@ -53,6 +53,8 @@
         triggerSlowness = TRIGGER_SLOWNESS,
         goalSlowness = GOAL_SLOWNESS,
         maxLoadsPerRank = settings.maxLoadsPerRank,
+        maxLoadsPerRankAndLayer = placement.spareSlots.coerceAtLeast(1),
+        maxSearches = MAX_SEARCHES,
         minGain = settings.minGain
     )
     return MapPlanner(settings).plan(
@@ -76,3 +78,6 @@
 
 /** Keeps the planner's bound on copies above what [PlacementSettings.maxLoadsPerRank] allows. */
 private const val MANY = 1_000_000L
+
+/** Bounds the time that one plan takes on the entry's only thread; two dozen milliseconds. */
+private const val MAX_SEARCHES = 64
--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/LayerRelief.kt
@@ -0,0 +1,56 @@
+package org.shallotplank.core.placement
+
+/**
+ * Finds a further replica that relieves the slowest rank of one layer.
+ *
+ * It weighs only replicas of that rank's experts on other ranks, where [LayerSearch] weighs every
+ * change of the layer, so that the map of a large group is planned between two requests.
+ */
+internal class LayerRelief(
+    private val loads: LayerLoads,
+    private val minGain: Double,
+    private val isFull: (rank: Int) -> Boolean
+) {
+    private val slowest = loads.slowestRank()
+    private val best = BestChanges(limit = 1, minGain)
+
+    /** The replica with the largest drop of the penalty, or null if none gains enough. */
+    fun candidate(): RankedChange? {
+        val open = (0 until loads.ranks)
+            .filter { it != slowest && !isFull(it) }
+            .sortedBy { loads.time(it) }
+        val first = (loads.ranks / FIRST_SHARE).coerceAtLeast(MIN_FIRST)
+        open.take(first).forEach(::weighReplicasOn)
+        if (best.isEmpty()) open.drop(first).forEach(::weighReplicasOn)
+        return best.toList().firstOrNull()
+    }
+
+    private fun weighReplicasOn(rank: Int) {
+        for (slot in loads.slotsOf(rank)) {
+            if (!loads.isReplicated(loads.expertIn(slot))) continue
+            for (own in loads.slotsOf(slowest)) weigh(slot, loads.expertIn(own))
+        }
+    }
+
+    private fun weigh(slot: Int, expert: Int) {
+        val rank = loads.rankOf(slot)
+        val replaced = loads.expertIn(slot)
+        if (loads.holds(rank, expert)) return
+        val before = loads.penaltyOf(replaced, expert)
+        loads.overwrite(slot, expert)
+        val gain = before - loads.penaltyOf(replaced, expert)
+        if (best.accepts(gain)) {
+            val change = LayerChange.Replicate(slot, rank, replaced, expert)
+            best.add(RankedChange(change, gain, loads.slowness()))
+        }
+        loads.overwrite(slot, replaced)
+    }
+
+    private companion object {
+        /** The least loaded ranks, one in so many, are looked at first. */
+        const val FIRST_SHARE = 8
+
+        /** Fewer are not worth a second look at the others. */
+        const val MIN_FIRST = 8
+    }
+}
--- a/core/src/main/kotlin/org/shallotplank/core/placement/MapPlanner.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/MapPlanner.kt
@@ -44,7 +44,7 @@
             LayerLoads(placement, popularity.shares(layer), speedByRank)
         }
         val before = layers.sumOf { it.slowness() } / layers.size
-        val changes = improve(layers, LoadBudget(settings, speeds.size), minGain)
+        val changes = improve(layers, LoadBudget(settings, speeds.size, layers.size), minGain)
         if (changes.isEmpty()) return null
         return MapPlan(
             map = ExpertMap(layers.map { it.toPlacement() }.toPersistentList()),
@@ -65,9 +65,11 @@
         val open = layers.indices.filterTo(mutableSetOf()) {
             slowness[it] > settings.triggerSlowness
         }
+        var searchesLeft = settings.maxSearches
         while (open.isNotEmpty() && !budget.isSpent) {
             val layer = open.maxBy { slowness[it] }
-            val change = improve(layer, layers[layer], budget, minGain)
+            val change = relieve(layer, layers[layer], budget, minGain)
+                ?: if (searchesLeft-- > 0) improve(layer, layers[layer], budget, minGain) else null
             if (change != null) changes += change
             slowness[layer] = layers[layer].slowness()
             if (change == null || slowness[layer] <= settings.goalSlowness) open -= layer
@@ -75,6 +77,23 @@
         return changes
     }
 
+    private fun relieve(
+        layer: Int,
+        loads: LayerLoads,
+        budget: LoadBudget,
+        minGain: Double
+    ): ExplainedChange? {
+        if (loads.ranks < settings.reliefRanks) return null
+        val slowest = loads.slowestRank()
+        val slowness = loads.slowness()
+        val chosen = LayerRelief(loads, minGain) { budget.isFull(layer, it) }.candidate()
+            ?.takeIf { budget.affords(it.change) }
+            ?: return null
+        loads.apply(chosen.change)
+        budget.spend(layer, chosen.change)
+        return ExplainedChange(layer, slowest, slowness, persistentListOf(chosen))
+    }
+
     private fun improve(
         layer: Int,
         loads: LayerLoads,
@@ -87,11 +106,11 @@
             loads = loads,
             limit = settings.explainedCandidates,
             minGain = minGain,
-            isFull = budget::isFull
+            isFull = { budget.isFull(layer, it) }
         ).candidates()
         val chosen = candidates.firstOrNull { budget.affords(it.change) } ?: return null
         loads.apply(chosen.change)
-        budget.spend(chosen.change)
+        budget.spend(layer, chosen.change)
         val others = candidates.filter { it !== chosen }
         return ExplainedChange(
             layer = layer,
@@ -102,19 +121,24 @@
     }
 }
 
-/** What one change may still load, in all and on each rank. */
-private class LoadBudget(private val settings: PlacementSettings, ranks: Int) {
+/** What one change may still load: in all, on each rank, and on each rank of one layer. */
+private class LoadBudget(private val settings: PlacementSettings, ranks: Int, layers: Int) {
     private var left = settings.maxLoadsPerChange
     private val loadsByRank = IntArray(ranks)
+    private val loadsByLayer = Array(layers) { IntArray(ranks) }
 
     val isSpent: Boolean get() = left <= 0
 
-    fun isFull(rank: Int): Boolean = loadsByRank[rank] >= settings.maxLoadsPerRank
+    fun isFull(layer: Int, rank: Int): Boolean = loadsByRank[rank] >= settings.maxLoadsPerRank ||
+        loadsByLayer[layer][rank] >= settings.maxLoadsPerRankAndLayer
 
     fun affords(change: LayerChange): Boolean = change.expertsLoaded <= left
 
-    fun spend(change: LayerChange) {
+    fun spend(layer: Int, change: LayerChange) {
         left -= change.expertsLoaded
-        change.loadingRanks.forEach { loadsByRank[it]++ }
+        change.loadingRanks.forEach {
+            loadsByRank[it]++
+            loadsByLayer[layer][it]++
+        }
     }
 }
--- a/core/src/main/kotlin/org/shallotplank/core/placement/PlacementSettings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/PlacementSettings.kt
@@ -33,6 +33,12 @@
     val storeUseWeight: Double = 0.03,
     /** Experts that one rank may load in one change, over all layers. */
     val maxLoadsPerRank: Int = 8,
+    /** Experts that one rank may load in one change in one layer. */
+    val maxLoadsPerRankAndLayer: Int = maxLoadsPerRank,
+    /** Ranks from which on further replicas are looked for by [LayerRelief] first. */
+    val reliefRanks: Int = 32,
+    /** Searches of a whole layer for one plan; each costs about a third of a millisecond. */
+    val maxSearches: Int = Int.MAX_VALUE,
     /** Longest wait for the outcome of a proposal. */
     val proposalTimeout: Duration = 90.seconds,
     /** Changes that an explanation names per decision. */
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperTest.kt
@@ -23,6 +23,15 @@
             assertTrue(world.timeToBalance() <= 1.seconds)
         }
 
+        @Test
+        fun `is prepared for as soon as the counts of two whole rounds have come`() {
+            val times = (0..14).map { step ->
+                BusyGroup(lossRate = 0.0).timeToPreparation(after = 10.milliseconds * step)
+            }
+
+            assertTrue(times.all { it <= COUNT_INTERVAL * 3 + TWO_ANSWERS }, "took $times")
+        }
+
         @Test
         fun `is met within a second while a change for the old demand is prepared`() {
             val times = (0..10).map { step ->
@@ -50,6 +59,10 @@
     }
 }
 
+private val COUNT_INTERVAL = 150.milliseconds
+
+/** An answer to the last question, and the tick after which it was asked. */
+private val TWO_ANSWERS = 60.milliseconds
 private val BALANCED_PASS = 50.milliseconds
 private val SKEWED_PASS = 150.milliseconds
 private const val RANKS = 4
@@ -82,7 +95,7 @@
         placement = placement,
         settings = GroupKeeperSettings(
             sampledRanks = RANKS,
-            countInterval = 150.milliseconds,
+            countInterval = COUNT_INTERVAL,
             popularityHalfLife = 400.milliseconds,
             maxLoadsPerRank = 2,
             minGain = 0.05
@@ -112,6 +125,16 @@
         return now - changedAt
     }
 
+    /** Time from a jump of demand until ranks copy experts for it. */
+    fun timeToPreparation(after: Duration): Duration {
+        run(6.seconds + after)
+        check(isBalanced()) { "the first demand was not met" }
+        hotExpert = EXPERTS - 1
+        val changedAt = now
+        while (keeper.stage !is KeeperStage.Preparing) run(TICK)
+        return now - changedAt
+    }
+
     private fun run(time: Duration) {
         val end = now + time
         while (now < end) {
@@ -194,9 +217,14 @@
         }
     }
 
+    /** Copies go on by themselves once the order to make them has come. */
     private fun isCopying(give: GroupKeeperEffect.Give): Boolean {
         if (give.order !is RankOrder.Prepare) return false
-        return now < copyingSince.getOrPut(give.rank to give.order) { now } + COPY_TIME
+        val since = copyingSince.getOrPut(give.rank to give.order) {
+            later(COPY_TIME) { group.carryOut(give.rank, give.order, give.epoch, give.fence) }
+            now
+        }
+        return now < since + COPY_TIME
     }
 
     private fun later(delay: Duration, run: () -> Unit) {
--- a/core/src/test/kotlin/org/shallotplank/core/placement/MapPlannerTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/placement/MapPlannerTest.kt
@@ -1,5 +1,7 @@
 package org.shallotplank.core.placement
 
+import kotlin.math.sqrt
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
@@ -70,6 +72,54 @@
         }
     }
 
+    /** Load pattern: half of the popular experts change in a group of more than a hundred ranks. */
+    @Nested
+    inner class APlanForManyRanks {
+        private val many = RankGroupShape(
+            ranks = 128,
+            layers = 2,
+            expertsPerLayer = 256,
+            slotsPerRank = 3
+        )
+        private val budget = settings.copy(
+            weightStoreBytesPerSecond = 1_000_000,
+            triggerSlowness = 1.3,
+            goalSlowness = 1.06,
+            maxLoadsPerRank = 4,
+            maxLoadsPerRankAndLayer = 2,
+            maxSearches = 0
+        )
+
+        @Test
+        fun `evens the ranks without a search of whole layers`() {
+            val plan = assertNotNull(planFrom(ExpertMap.initial(many)))
+
+            assertTrue(plan.slownessBefore > 2.5, "before ${plan.slownessBefore}")
+            assertTrue(plan.slownessAfter < 1.3, "after ${plan.slownessAfter}")
+        }
+
+        @Test
+        fun `loads no more experts on a rank and layer than it may`() {
+            val before = ExpertMap.initial(many)
+            val plan = assertNotNull(planFrom(before))
+
+            plan.map.layers.zip(before.layers).forEach { (next, present) ->
+                val loaded = next.expertBySlot.chunked(many.slotsPerRank)
+                    .zip(present.expertBySlot.chunked(many.slotsPerRank))
+                    .map { (new, old) -> (new - old.toSet()).size }
+                assertTrue(loaded.max() <= budget.maxLoadsPerRankAndLayer)
+            }
+        }
+
+        private fun planFrom(map: ExpertMap): MapPlan? {
+            val shares = (1..many.expertsPerLayer).map { (10_000 / sqrt(it.toDouble())).toInt() }
+            val layers = (1L..many.layers).map { shares.shuffled(Random(it)).toIntArray() }
+            val popularity = ExpertPopularity.unknown(many.layers, many.expertsPerLayer)
+                .plus(layers, Instant.fromEpochSeconds(0), halfLife = 10.seconds)
+            return MapPlanner(budget).plan(map, popularity, RankSpeeds.equal(many.ranks))
+        }
+    }
+
     @Property(tries = 300, seed = "11")
     fun `any plan keeps all experts, doubles none on a rank and stays within its budget`(
         @ForAll @Size(8) tokens: List<
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -1,6 +1,7 @@
 package org.shallotplank.gateway.group
 
 import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -221,7 +222,7 @@
             sampledRanks = ranks.coerceAtMost(MAX_SAMPLES),
             countInterval = COUNT_INTERVAL,
             popularityHalfLife = POPULARITY_HALF_LIFE,
-            maxLoadsPerRank = placement.spareSlots.coerceIn(1, MAX_LOADS_PER_RANK),
+            maxLoadsPerRank = loadsWithin(COPY_TIME, placement),
             minGain = MIN_GAIN
         )
 
@@ -233,7 +234,18 @@
         private val POPULARITY_HALF_LIFE = 400.milliseconds
         private const val MIN_GAIN = 0.05
 
-        /** Ranks copy one expert after the other, and the change waits for the last of them. */
-        private const val MAX_LOADS_PER_RANK = 2
+        /** Experts that a rank copies within [time], one after the other. */
+        private fun loadsWithin(time: Duration, placement: PlacementProfile): Int =
+            (time / placement.expertCopyTime.coerceAtLeast(1.milliseconds)).toInt()
+                .coerceIn(1, MAX_LOADS_PER_RANK)
+
+        /**
+         * Time for the copies of one change; the demand may jump again within seconds, and a second
+         * change follows where the first one does not suffice.
+         */
+        private val COPY_TIME = 200.milliseconds
+
+        /** Bounds the time that a plan for many ranks takes; see docs/MEASUREMENTS.md. */
+        private const val MAX_LOADS_PER_RANK = 8
     }
 }
