Let one entry alone act for a group whose ranks check no fences

Cause: on sites with require_fence = false, ranks take any keeper's orders. A deputy began as soon as it had not heard from the holder for two seconds, and a holder that woke up or was cut off from its peers only completed its change, so that both could act: the fence that tells them apart on other sites does nothing there.

Change: there (setting fences_checked, from the platform's bounds) no deputies are named; a holder gives orders only within 4 s after a call by which the store confirmed its row, and gives up a change otherwise; a successor waits 5 s, unless a later process of the holder's instance shows that it has ended. A machine's suspension, which the steady clock does not count, is seen by the time of day. Costs one call for changes of entries each 1.6 s in place of 4 s.

Not covered: orders of the same keeper that are carried out late, between the undoing of a change and the pass.

--- a/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
@@ -42,5 +42,7 @@
     /** Span over which retries are counted. */
     val retryWindow: Duration,
     /** Retries in any such span that are free, over all entries. */
-    val retrySlack: Int
+    val retrySlack: Int,
+    /** Whether the ranks of groups refuse orders with a fencing number below one that they saw. */
+    val areFencesChecked: Boolean = true
 )
--- a/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
@@ -84,6 +84,14 @@
         rule = wholeNumber(0..MAX_RETRY_SLACK, unit = "retries"),
         doc = "Retries in any such span that are free, over all entries together."
     )
+    val areFencesChecked = KeySpec(
+        name = "fences_checked",
+        rule = flag(),
+        doc =
+        "Whether the ranks of groups refuse orders with a fencing number below one that they " +
+            "saw. Where they do not, a group is kept by the holder of its lease alone.",
+        default = true
+    )
     val table = TableSpec(
         name = "",
         shape = TableShape.ROOT,
@@ -104,7 +112,8 @@
             entryListTtl,
             retryRatio,
             retryWindow,
-            retrySlack
+            retrySlack,
+            areFencesChecked
         )
     )
 }
@@ -136,6 +145,7 @@
     val retryRatio = read(GatewayKeys.retryRatio)
     val retryWindow = read(GatewayKeys.retryWindow)
     val retrySlack = read(GatewayKeys.retrySlack)
+    val areFencesChecked = read(GatewayKeys.areFencesChecked)
     return nullable {
         GatewayEntrySettings(
             instanceId = instanceId.bind(),
@@ -153,7 +163,8 @@
             entryListTtl = entryListTtl.bind(),
             retryRatio = retryRatio.bind(),
             retryWindow = retryWindow.bind(),
-            retrySlack = retrySlack.bind()
+            retrySlack = retrySlack.bind(),
+            areFencesChecked = areFencesChecked.bind()
         )
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
@@ -30,6 +30,7 @@
 import org.shallotplank.gateway.group.GroupKeepers
 import org.shallotplank.gateway.group.KeeperCandidate
 import org.shallotplank.gateway.group.KeeperSurroundings
+import org.shallotplank.gateway.group.LeaseGuard
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.http.HttpClient
 import org.shallotplank.gateway.peer.KnownCrash
@@ -92,7 +93,7 @@
         val follows = listOf(
             FollowSettings(schema.operatorTable, wait = OPERATOR_WAIT),
             FollowSettings(schema.upstreamTable, wait = UPSTREAM_WAIT, pause = UPSTREAM_PAUSE),
-            FollowSettings(schema.entryTable, wait = ENTRY_WAIT, pause = ENTRY_PAUSE)
+            FollowSettings(schema.entryTable, wait = entryWait(), pause = ENTRY_PAUSE)
         )
         followers = follows.associate { follow ->
             follow.table to TableFollower(
@@ -139,16 +140,39 @@
         keepers.tick(now)
     }
 
+    private fun entryWait(): Duration =
+        if (settings.areFencesChecked) ENTRY_WAIT else LeaseGuard.FOLLOW_WAIT
+
     private fun surroundings() = KeeperSurroundings(
         own = KeeperCandidate(settings.instanceId.value, environment.incarnation),
         candidates = ::keeperCandidates,
         state = exchanges::state,
         table = schema.entryTable,
         replica = ::entryReplica,
+        hasEnded = ::hasEnded,
+        guard = LeaseGuard(
+            areFencesChecked = settings.areFencesChecked,
+            clock = clock,
+            wallClock = environment.wallClock,
+            confirmedAt = { followers.getValue(schema.entryTable).answeredAt }
+        ),
         clock = clock,
         log = log
     )
 
+    /** A later process of the same instance shows that this one has ended. */
+    private fun hasEnded(candidate: KeeperCandidate): Boolean {
+        val registered = entryReplica().row(Registration.keyOf(candidate.instance))
+            ?.let { decodeRow(it.value)?.incarnation }
+        val heard = peers.alive.mapNotNull { it.report }
+            .filter { it.instance == candidate.instance }
+            .map { it.incarnation }
+        val own = environment.incarnation.takeIf {
+            candidate.instance == settings.instanceId.value
+        }
+        return (heard + listOfNotNull(registered, own)).any { it > candidate.incarnation }
+    }
+
     private fun keeperCandidates(): List<KeeperCandidate> {
         val own = KeeperCandidate(settings.instanceId.value, environment.incarnation)
         val isServing = exchanges.state.isReady && !exchanges.state.isStopping
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
@@ -29,11 +29,14 @@
 
 /** What a gateway entry depends on from outside. */
 public class GatewayEnvironment(
+    /** A clock that never jumps. */
     public val clock: Clock,
     public val random: Random,
     public val writer: JsonLogWriter,
     /** Start of the process as a number that no earlier start of the same instance had. */
-    public val incarnation: Long
+    public val incarnation: Long,
+    /** The time of day, which also passes while the machine is suspended. */
+    public val wallClock: Clock = Clock.System
 )
 
 /**
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -29,6 +29,9 @@
     val state: () -> GatewayState,
     val table: String,
     val replica: () -> TableReplica,
+    /** Whether a later process of the candidate's instance is known, so that it has ended. */
+    val hasEnded: (KeeperCandidate) -> Boolean,
+    val guard: LeaseGuard,
     val clock: Clock,
     val log: (LogRecord) -> Unit
 )
@@ -48,6 +51,8 @@
 ) {
     private val running = HashMap<String, RunningKeeper>()
     private val claimedAt = HashMap<String, Instant>()
+    private val holdings = HashMap<String, Holding>()
+    private val predecessors = HashMap<String, KeeperCandidate?>()
     private var checkedAt: Instant = Instant.DISTANT_PAST
 
     /** Entries that served at the last check. */
@@ -68,7 +73,8 @@
 
     private fun check(name: String, group: KnownGroup, now: Instant) {
         val row = around.replica().row(KEY_PREFIX + name)
-        val lease = row?.let { decode(it.value) }
+        val lease = row?.let { decode(it.value) }?.let(::withAllowedDeputies)
+        noteHolding(name, lease, now)
         val fence = lease?.fenceOf(around.own, serving)
         val keeper = running[name]
         if (lease == null || fence == null) {
@@ -82,6 +88,7 @@
         when {
             keeper?.leaseFence == fence && keeper.state.isFenced ->
                 claim(name, lease, row.version, now)
+            !mayKeep(name) -> abandon(name)
             around.own in serving -> {
                 keep(name, group, fence)
                 renew(name, lease, row.version, now)
@@ -90,6 +97,31 @@
         }
     }
 
+    /** Where ranks do not check fences, deputies could not be told from the holder. */
+    private fun withAllowedDeputies(lease: GroupLease): GroupLease =
+        if (around.guard.areFencesChecked) lease else lease.copy(deputies = emptyList())
+
+    private fun noteHolding(name: String, lease: GroupLease?, now: Instant) {
+        if (lease == null || !lease.isHeldBy(around.own)) {
+            holdings.remove(name)
+        } else if (holdings[name]?.term != lease.term) {
+            holdings[name] = Holding(lease.term, seenAt = now, predecessors[name])
+        }
+        predecessors[name] = lease?.holding
+    }
+
+    private fun mayKeep(name: String): Boolean {
+        val holding = holdings[name] ?: return around.guard.areFencesChecked
+        val isPredecessorGone = holding.predecessor?.let(around.hasEnded) ?: true
+        return around.guard.mayAct() && around.guard.mayBegin(holding.seenAt, isPredecessorGone)
+    }
+
+    /** Another entry may act for the group already; even a change that is under way ends here. */
+    private fun abandon(name: String) {
+        val keeper = running.remove(name) ?: return
+        logKeeping(name, keeper.leaseFence, isKept = false)
+    }
+
     /** A change that is under way is completed, unless the ranks hear of a higher number. */
     private fun leave(name: String) {
         val keeper = running[name] ?: return
@@ -116,7 +148,7 @@
             if (running[name]?.isSettled == true) claim(name, lease, version, now)
             return
         }
-        val next = lease.withDeputies(serving)
+        val next = withAllowedDeputies(lease.withDeputies(serving))
         if (next != lease) write(name, lease, next, version, now)
     }
 
@@ -129,6 +161,7 @@
         if (last != null && now - last < CLAIM_INTERVAL) return
         val next = GroupLease(around.own.instance, around.own.incarnation, (lease?.term ?: 0) + 1)
             .withDeputies(serving)
+            .let(::withAllowedDeputies)
         write(name, lease, next, version, now)
     }
 
@@ -171,7 +204,15 @@
             stage = KeeperStage.Surveying(around.clock.now())
         )
         running[name] =
-            RunningKeeper(keeper, group.ranks, port, scope, around.clock, around.log)
+            RunningKeeper(
+                initial = keeper,
+                ranks = group.ranks,
+                port = port,
+                scope = scope,
+                clock = around.clock,
+                mayAct = around.guard::mayAct,
+                log = around.log
+            )
     }
 
     private fun knownGroups(): Map<String, KnownGroup> {
@@ -205,6 +246,9 @@
         null
     }
 
+    /** A lease that this entry holds, and the one that held it before, if any is known. */
+    private class Holding(val term: Long, val seenAt: Instant, val predecessor: KeeperCandidate?)
+
     private class KnownGroup(val ranks: Map<Int, RankAddress>, val placement: PlacementProfile)
 
     internal companion object {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupLease.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupLease.kt
@@ -31,7 +31,7 @@
     val term: Long,
     val deputies: List<GroupDeputy> = emptyList()
 ) {
-    private val holding: KeeperCandidate get() = KeeperCandidate(holder, incarnation)
+    val holding: KeeperCandidate get() = KeeperCandidate(holder, incarnation)
 
     /** Whether [candidate] holds the lease. */
     fun isHeldBy(candidate: KeeperCandidate): Boolean = candidate == holding
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseGuard.kt
@@ -0,0 +1,61 @@
+package org.shallotplank.gateway.group
+
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * Keeps two holders of a lease from acting at the same time where ranks do not check fences.
+ *
+ * A holder acts only while the store has confirmed its row of late, and its successor begins after
+ * that time has passed. Where ranks check fences, they tell the holders apart themselves, and the
+ * guard allows everything.
+ *
+ * @param confirmedAt start of the last call by which the store told the rows of leases.
+ * @param wallClock runs on while the machine is suspended, which the steady clock does not.
+ */
+internal class LeaseGuard(
+    val areFencesChecked: Boolean,
+    private val clock: Clock,
+    private val wallClock: Clock,
+    private val confirmedAt: () -> Instant
+) {
+    private var offset: Duration = wallClock.now() - clock.now()
+    private var distrustedBefore: Instant = Instant.DISTANT_PAST
+
+    /** Whether the holder of a lease may give orders now. */
+    fun mayAct(): Boolean {
+        if (areFencesChecked) return true
+        val now = clock.now()
+        noteSuspension(now)
+        val confirmed = confirmedAt()
+        return confirmed > distrustedBefore && now - confirmed <= VALIDITY
+    }
+
+    /** Whether a holder may begin whose row was first seen at [seenAt]. */
+    fun mayBegin(seenAt: Instant, isPredecessorGone: Boolean): Boolean =
+        areFencesChecked || isPredecessorGone || clock.now() - seenAt >= TAKEOVER_DELAY
+
+    /** A jump between the clocks is a suspension, or a step of the time of day, which does no harm. */
+    private fun noteSuspension(now: Instant) {
+        val present = wallClock.now() - now
+        if ((present - offset).absoluteValue > MAX_JUMP) distrustedBefore = now
+        offset = present
+    }
+
+    internal companion object {
+        /** Two calls for the table of leases, one after the other, fit in; see [FOLLOW_WAIT]. */
+        val VALIDITY: Duration = 4.seconds
+
+        /** Longest call for the table of leases where their rows have to be confirmed. */
+        val FOLLOW_WAIT: Duration = 1_600.milliseconds
+
+        /** The validity, and a second for orders that are on their way. */
+        val TAKEOVER_DELAY: Duration = VALIDITY + 1.seconds
+
+        /** Far above what the clocks differ by between two ticks. */
+        private val MAX_JUMP = 300.milliseconds
+    }
+}
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
@@ -18,6 +18,8 @@
     private val port: RankPort,
     private val scope: CoroutineScope,
     private val clock: Clock,
+    /** Whether orders may be given now. */
+    private val mayAct: () -> Boolean,
     private val log: (LogRecord) -> Unit
 ) {
     /** The state after the last event. */
@@ -77,19 +79,15 @@
                     GroupKeeperEvent.Listed(effect.rank, it.epoch, it.version, it.experts)
                 }
             }
-            is GroupKeeperEffect.Give -> ask(effect.rank) { address ->
-                val outcome = port.give(address, effect.order, effect.epoch, effect.fence)
-                GroupKeeperEvent.Answered(
-                    effect.rank,
-                    effect.epoch,
-                    effect.fence,
-                    effect.order,
-                    outcome
-                )
-            }
+            is GroupKeeperEffect.Give -> if (mayAct()) give(effect)
         }
     }
 
+    private fun give(effect: GroupKeeperEffect.Give) = ask(effect.rank) { address ->
+        val outcome = port.give(address, effect.order, effect.epoch, effect.fence)
+        GroupKeeperEvent.Answered(effect.rank, effect.epoch, effect.fence, effect.order, outcome)
+    }
+
     private fun ask(rank: Int, question: suspend (RankAddress) -> GroupKeeperEvent?) {
         val address = ranks[rank] ?: return
         scope.launch { question(address)?.let { reduce(it) } }
