Bound what an upstream in trouble may send, and find streams that only dribble

Change: skipped answers are counted, heads included, and end the attempt at 1 MiB; a refusal stays one whatever follows its head; the splitter looks only at new bytes; progress of a stream is an event with an id or data; bytes on a connection without a request close it before they are decoded.

--- a/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
@@ -87,9 +87,8 @@
     val areFencesChecked = KeySpec(
         name = "fences_checked",
         rule = flag(),
-        doc =
-        "Whether the ranks of groups refuse orders with a fencing number below one that they " +
-            "saw. Where they do not, a group is kept by the holder of its lease alone.",
+        doc = "Whether the ranks of groups refuse orders with a fencing number below one that " +
+            "they saw. Where they do not, only the holder of a group's lease keeps it.",
         default = true
     )
     val table = TableSpec(
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
@@ -92,8 +92,8 @@
     fun start(store: MetadataStore, ranks: RankPort) {
         val follows = listOf(
             FollowSettings(schema.operatorTable, wait = OPERATOR_WAIT),
-            FollowSettings(schema.upstreamTable, wait = UPSTREAM_WAIT, pause = UPSTREAM_PAUSE),
-            FollowSettings(schema.entryTable, wait = entryWait(), pause = ENTRY_PAUSE)
+            FollowSettings(schema.upstreamTable, wait = UPSTREAM_WAIT, pause = ::upstreamPause),
+            FollowSettings(schema.entryTable, wait = entryWait(), pause = { ENTRY_PAUSE })
         )
         followers = follows.associate { follow ->
             follow.table to TableFollower(
@@ -140,6 +140,11 @@
         keepers.tick(now)
     }
 
+    private fun upstreamPause(): Duration = (UPSTREAM_PAUSE_PER_ENTRY * entryPlaces.size).coerceIn(
+        MIN_UPSTREAM_PAUSE,
+        MAX_UPSTREAM_PAUSE
+    )
+
     private fun entryWait(): Duration =
         if (settings.areFencesChecked) ENTRY_WAIT else LeaseGuard.FOLLOW_WAIT
 
@@ -352,7 +357,13 @@
          */
         val OPERATOR_WAIT = 1_600.milliseconds
         val UPSTREAM_WAIT = 1_600.milliseconds
-        val UPSTREAM_PAUSE = 300.milliseconds
+        val MIN_UPSTREAM_PAUSE = 300.milliseconds
+
+        /** Bounds the calls of many entries for a table in which some row always changes. */
+        val UPSTREAM_PAUSE_PER_ENTRY = 45.milliseconds
+
+        /** Half of the two seconds in which a leaving upstream may get nothing more. */
+        val MAX_UPSTREAM_PAUSE = 1.seconds
         val ENTRY_WAIT = 4_000.milliseconds
         val ENTRY_PAUSE = 500.milliseconds
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseGuard.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseGuard.kt
@@ -38,7 +38,7 @@
     fun mayBegin(seenAt: Instant, isPredecessorGone: Boolean): Boolean =
         areFencesChecked || isPredecessorGone || clock.now() - seenAt >= TAKEOVER_DELAY
 
-    /** A jump between the clocks is a suspension, or a step of the time of day, which does no harm. */
+    /** A jump between the clocks is a suspension, or a harmless step of the time of day. */
     private fun noteSuspension(now: Instant) {
         val present = wallClock.now() - now
         if ((present - offset).absoluteValue > MAX_JUMP) distrustedBefore = now
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
@@ -18,7 +18,7 @@
     /** Longest wait of one call for changes. */
     public val wait: Duration,
     /** Shortest time between two calls, which bounds the calls for a table that changes often. */
-    public val pause: Duration = Duration.ZERO
+    public val pause: () -> Duration = { Duration.ZERO }
 )
 
 /**
@@ -83,7 +83,8 @@
         }
         onContact(replica, isChanged)
         val elapsed = clock.now() - startedAt
-        if (elapsed < settings.pause) delay(settings.pause - elapsed)
+        val pause = settings.pause()
+        if (elapsed < pause) delay(pause - elapsed)
     }
 
     private suspend fun onFailure(failure: StoreFailure) {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/EventSplitter.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/EventSplitter.kt
@@ -10,50 +10,58 @@
  * breaks off in the middle of an event can go on with that event from another upstream.
  */
 internal class EventSplitter {
-    private var rest: ByteArray = ByteArray(0)
+    private var rest = ByteArray(INITIAL_BYTES)
+
+    /** Bytes behind the last whole event. */
+    var restBytes: Int = 0
+        private set
 
     /** Id of the last whole event, null before the first one that has an id. */
     var lastEventId: String? = null
         private set
 
-    /** Bytes behind the last whole event. */
-    val restBytes: Int get() = rest.size
+    /** Whether the events of the last [take] had an id or data, rather than comments only. */
+    var hadContent: Boolean = false
+        private set
 
     /** Takes in [bytes] and returns the whole events that are now known, or null. */
     fun take(bytes: ByteBuf): ByteBuf? {
-        val joined = ByteArray(rest.size + bytes.readableBytes())
-        rest.copyInto(joined)
-        bytes.readBytes(joined, rest.size, bytes.readableBytes())
-        val end = endOfLastEvent(joined)
-        if (end == 0) {
-            rest = joined
-            return null
-        }
-        noteIds(joined, end)
-        rest = joined.copyOfRange(end, joined.size)
-        return Unpooled.wrappedBuffer(joined, 0, end)
+        val added = bytes.readableBytes()
+        val known = restBytes
+        if (known + added > rest.size) rest = rest.copyOf(maxOf(known + added, rest.size * 2))
+        bytes.readBytes(rest, known, added)
+        restBytes = known + added
+        // The empty line may have begun in the bytes before.
+        val end = endOfLastEvent(from = (known - LONGEST_END + 1).coerceAtLeast(1))
+        if (end == 0) return null
+        noteContent(end)
+        val whole = Unpooled.wrappedBuffer(rest.copyOf(end))
+        rest.copyInto(rest, destinationOffset = 0, startIndex = end, endIndex = restBytes)
+        restBytes -= end
+        return whole
     }
 
     /** Returns what is behind the last whole event and forgets it. */
     fun takeRest(): ByteBuf {
-        val left = Unpooled.wrappedBuffer(rest)
-        rest = ByteArray(0)
+        val left = Unpooled.wrappedBuffer(rest.copyOf(restBytes))
+        restBytes = 0
         return left
     }
 
-    /** Position behind the last empty line of [bytes], 0 if there is none. */
-    private fun endOfLastEvent(bytes: ByteArray): Int {
-        for (at in bytes.lastIndex downTo 1) {
-            if (bytes[at] != LINE_FEED) continue
-            val before = if (bytes[at - 1] == CARRIAGE_RETURN) at - 2 else at - 1
-            if (before >= 0 && bytes[before] == LINE_FEED) return at + 1
+    /** Position behind the last empty line that ends at [from] or later, 0 if there is none. */
+    private fun endOfLastEvent(from: Int): Int {
+        for (at in restBytes - 1 downTo from) {
+            if (rest[at] != LINE_FEED) continue
+            val before = if (rest[at - 1] == CARRIAGE_RETURN) at - 2 else at - 1
+            if (before >= 0 && rest[before] == LINE_FEED) return at + 1
         }
         return 0
     }
 
-    private fun noteIds(bytes: ByteArray, end: Int) {
-        String(bytes, 0, end, Charsets.UTF_8).lineSequence()
-            .lastOrNull { it.startsWith(ID_FIELD) }
+    private fun noteContent(end: Int) {
+        val lines = String(rest, 0, end, Charsets.UTF_8).lineSequence()
+        hadContent = lines.any { it.startsWith(ID_FIELD) || it.startsWith(DATA_FIELD) }
+        lines.lastOrNull { it.startsWith(ID_FIELD) }
             ?.let { lastEventId = it.removePrefix(ID_FIELD).trim() }
     }
 
@@ -61,5 +69,12 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+        const val DATA_FIELD = "data:"
+
+        /** Most events are shorter; the buffer grows for others. */
+        const val INITIAL_BYTES = 1_024
+
+        /** Bytes of the end of an event, two line ends of two bytes each. */
+        const val LONGEST_END = 4
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -53,6 +53,7 @@
     private var head: HttpResponse? = null
     private var isSkipping = false
     private var isConnectionSpoilt = false
+    private var skippedBytes = 0
     private var mode = AnswerMode.HELD
     private var heldBytes = Unpooled.compositeBuffer(MAX_HELD_PARTS)
     private val events = EventSplitter()
@@ -63,7 +64,7 @@
     private var isOver = false
     private var lastProgressAt: Instant = context.clock.now()
 
-    /** Time since anything came from the upstream. */
+    /** Time since the answer went on; bytes of an event that is not whole say nothing. */
     fun silence(now: Instant): Duration = now - lastProgressAt
 
     val isRunning: Boolean get() = !isOver
@@ -111,6 +112,7 @@
         if (isInterim || isAnotherRequests(response)) {
             isSkipping = true
             isConnectionSpoilt = isConnectionSpoilt || !isInterim
+            noteSkipped(SKIPPED_HEAD_BYTES)
             return
         }
         lastProgressAt = context.clock.now()
@@ -167,10 +169,11 @@
         val isLast = part is LastHttpContent
         if (isSkipping) {
             if (isLast) isSkipping = false
+            noteSkipped(part.content().readableBytes())
             return
         }
         val response = head ?: return
-        lastProgressAt = context.clock.now()
+        if (mode != AnswerMode.EVENTS) lastProgressAt = context.clock.now()
         when (mode) {
             AnswerMode.EVENTS -> onEvents(response, part.content())
             AnswerMode.HELD -> hold(response, part.content())
@@ -179,6 +182,12 @@
         if (isLast && !isOver) onWhole(response)
     }
 
+    /** Ends the attempt if what belongs to no answer of its own does not end. */
+    private fun noteSkipped(bytes: Int) {
+        skippedBytes += bytes
+        if (skippedBytes > MAX_SKIPPED_BYTES) fail(AttemptFailure.GARBLED)
+    }
+
     private fun onEvents(response: HttpResponse, content: ByteBuf) {
         val whole = events.take(content)
         if (events.restBytes > MAX_EVENT_BYTES) {
@@ -186,8 +195,10 @@
             return
         }
         if (whole == null) return
-        val now = context.clock.now()
-        notePause(now)
+        if (events.hadContent) {
+            lastProgressAt = context.clock.now()
+            notePause(lastProgressAt)
+        }
         begin(response)
         events.lastEventId?.let { exchange.lastEventId = it }
         exchange.connection.write(whole)
@@ -210,6 +221,12 @@
             heldBytes.addComponent(true, content.retain())
             return
         }
+        if (isNotRun(response)) {
+            end()
+            connection?.close()
+            emitNotRun(response)
+            return
+        }
         mode = AnswerMode.PASSED
         begin(response)
         exchange.connection.write(heldBytes.retain())
@@ -234,8 +251,7 @@
         when {
             isNotRun(response) -> {
                 endAndKeep(response)
-                val isMisdirected = status == MISDIRECTED
-                context.emit(GatewayEvent.NotRun(exchange.id, number, status, isMisdirected))
+                emitNotRun(response)
             }
             mode == AnswerMode.HELD -> {
                 exchange.held = heldAnswer(response)
@@ -255,6 +271,12 @@
         }
     }
 
+    private fun emitNotRun(response: HttpResponse) {
+        val status = response.status().code()
+        val isMisdirected = status == MISDIRECTED
+        context.emit(GatewayEvent.NotRun(exchange.id, number, status, isMisdirected))
+    }
+
     private fun heldAnswer(response: HttpResponse): DefaultFullHttpResponse {
         val status = HttpResponseStatus.valueOf(response.status().code())
         val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, heldBytes.retain())
@@ -313,6 +335,12 @@
         const val MAX_HELD_BYTES = 262_144
         const val MAX_HELD_PARTS = 64
 
+        /** Interim answers and those to other requests, before an attempt is given up. */
+        const val MAX_SKIPPED_BYTES = 1_048_576
+
+        /** What a skipped head counts for, so that endless empty answers end as well. */
+        const val SKIPPED_HEAD_BYTES = 4_096
+
         /** Longest event; more without an empty line is no event stream. */
         const val MAX_EVENT_BYTES = 1_048_576
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamConnection.kt
@@ -38,6 +38,9 @@
     /** Called when the connection is closed. */
     var onClosed: () -> Unit = {}
 
+    /** Whether a request waits for its answer. */
+    val isRequestOpen: Boolean get() = reader != null
+
     /** Whether the present request is the first one on it. */
     val isFirstRequest: Boolean get() = requestsSent == 1
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
@@ -6,6 +6,8 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.ConnectTimeoutException
@@ -13,6 +15,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
@@ -102,7 +105,10 @@
         val future = bootstrap { channel ->
             val created = UpstreamConnection(channel)
             connection = created
-            channel.pipeline().addLast(HttpClientCodec()).addLast(created)
+            channel.pipeline()
+                .addLast(UnaskedBytes(created))
+                .addLast(HttpClientCodec())
+                .addLast(created)
         }.connect(InetSocketAddress(target.address.host, target.address.port))
         future.addListener(
             ChannelFutureListener {
@@ -150,3 +156,16 @@
         val CONNECT_TIMEOUT = 500.milliseconds
     }
 }
+
+/** Closes a connection on which bytes come while no request waits, before they are decoded. */
+private class UnaskedBytes(private val connection: UpstreamConnection) :
+    ChannelInboundHandlerAdapter() {
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (connection.isRequestOpen) {
+            context.fireChannelRead(message)
+            return
+        }
+        ReferenceCountUtil.release(message)
+        context.close()
+    }
+}
