Hold requests of a starting entry, return later from outages, survey by fresh reports

The next seconds were late because the group ran on map 0 until a keeper had waited 0.6 s for reports that could be old, though through a relay they are not.

Change: requests that come before the entry is ready wait for 0.6 s, or a quarter of the caller's time; while no engine of a service has answered for 0.5 s, refusals send callers back after 1.3 to 2.5 s in place of 0.3 to 1.2 s; reports through a relay count as fresh, and a survey takes some 0.2 s in place of 0.75 s (GroupKeeperFuzz plays both).

The test that an unconfigured entry refuses at once was wrong for the callers' good; in its place stand four: it waits no longer than a start takes, serves once configured, forgets callers that leave, and is bounded.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -75,7 +75,7 @@
     now: Instant
 ): GroupKeeperStep {
     val recent = allRanks.map { rank ->
-        reports[rank]?.takeIf { it.at >= survey.since + REPORT_LAG }?.report
+        reports[rank]?.takeIf { it.at >= survey.since + it.report.lag }?.report
             ?: return Step(this)
     }
     val held = recent.withIndex().filter { it.value.heldStep != null }
@@ -346,8 +346,13 @@
 /** Passes that are tried when the one to hold had begun; a second of passes of 25 ms. */
 private const val MAX_HOLD_TRIES = 40
 
+private val RankReport.lag: Duration get() = if (isFresh) FRESH_REPORT_LAG else REPORT_LAG
+
 /** A report may be this old when it comes. */
-internal val REPORT_LAG: Duration = 600.milliseconds
+private val REPORT_LAG: Duration = 600.milliseconds
+
+/** A fresh report is on its way for a few milliseconds, on a slow machine for longer. */
+private val FRESH_REPORT_LAG: Duration = 100.milliseconds
 
 /** Bounds the orders to a rank whose connections fail at once. */
 private val LOST_ORDER_INTERVAL = 30.milliseconds
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/RankReport.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/RankReport.kt
@@ -1,10 +1,11 @@
 package org.shallotplank.core.expertmap
 
 /**
- * What a rank says of itself; up to half a second old.
+ * What a rank says of itself; up to half a second old unless it [isFresh].
  *
  * @property epoch counts how often the group has formed.
  * @property step the last pass that was begun.
+ * @property isFresh whether it shows the rank as it was when it was asked.
  * @property heldStep a pass that does not begin until it is released, null for none.
  */
 public data class RankReport(
@@ -14,7 +15,8 @@
     val mapVersion: Long,
     val preparedVersion: Long? = null,
     val armed: ArmedMap? = null,
-    val heldStep: Long? = null
+    val heldStep: Long? = null,
+    val isFresh: Boolean = false
 )
 
 /** A map that a rank switches to as a pass begins. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -16,14 +16,13 @@
 import org.shallotplank.core.then
 
 internal fun GatewayState.onArrived(request: GatewayRequest, context: GatewayContext): GatewayStep {
-    val table = routes?.takeIf { isReady }
-        ?: return refuseUnknown(request, STATUS_UNAVAILABLE, GatewayRefusal.NOT_CONFIGURED)
+    val table = routes?.takeIf { isReady } ?: return holdEarly(request, context)
     val path = request.path.substringBefore('?')
     val route = table.match(request.host, path)
-        ?: return refuseUnknown(request, STATUS_NOT_FOUND, GatewayRefusal.NO_ROUTE)
+        ?: return refuseUnknown(request, STATUS_NOT_FOUND, GatewayRefusal.NO_ROUTE, context)
     val holder = request.credential?.let { table.customersByCredential[it] }
     if (table.requiresCredentials && !route.isOpen && holder == null) {
-        return refuseUnknown(request, STATUS_UNAUTHORIZED, GatewayRefusal.UNAUTHORIZED)
+        return refuseUnknown(request, STATUS_UNAUTHORIZED, GatewayRefusal.UNAUTHORIZED, context)
     }
     val service = drawService(route, context)
     val patience = request.timeLeft
@@ -66,7 +65,7 @@
         return refuse(call, GatewayRefusal.QUARANTINED, QUARANTINE_RETURN)
     }
     if (!hasUsable(call.service, context)) {
-        return refuse(call, GatewayRefusal.NO_UPSTREAM, spreadReturn(context))
+        return refuse(call, GatewayRefusal.NO_UPSTREAM, returnTo(call.service, context))
     }
     val request = AdmissionRequest(
         id = call.request.id,
@@ -82,10 +81,11 @@
 private fun longestWait(route: Route): Duration =
     route.goal * (if (route.kind == RequestKind.STREAM) STREAM_WAIT_SHARE else PLAIN_WAIT_SHARE)
 
-private fun GatewayState.refuseUnknown(
+internal fun GatewayState.refuseUnknown(
     request: GatewayRequest,
     status: Int,
-    reason: GatewayRefusal
+    reason: GatewayRefusal,
+    context: GatewayContext
 ): GatewayStep {
     val record = logRecord(
         LogEvent.GATEWAY_REJECTED,
@@ -98,13 +98,13 @@
         "configuration" to routes?.version,
         "ready" to isReady
     )
-    val retryAfter = UNCONFIGURED_RETURN.takeIf { reason == GatewayRefusal.NOT_CONFIGURED }
+    val retryAfter = outageReturn(context).takeIf { reason == GatewayRefusal.NOT_CONFIGURED }
     val refuse = GatewayEffect.Refuse(request.id, status, reason, retryAfter)
     return Step(this, persistentListOf(refuse, GatewayEffect.Log(record)))
 }
 
 internal fun GatewayState.onCallerLeft(id: RequestId, context: GatewayContext): GatewayStep {
-    val call = calls[id] ?: return Step(this)
+    val call = calls[id] ?: return Step(copy(early = early.removeAll { it.id == id }))
     val record = logRecord(
         LogEvent.GATEWAY_CALLER_LEFT,
         "request" to id,
@@ -136,8 +136,5 @@
 /** Plain requests keep most of their worth for a while after the goal. */
 private const val PLAIN_WAIT_SHARE = 1.5
 
-/** A process that starts has its configuration within about this time. */
-private val UNCONFIGURED_RETURN = 500.milliseconds
-
 /** A request that crashed upstreams has no better time to come back. */
 private val QUARANTINE_RETURN = 60_000.milliseconds
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -3,6 +3,7 @@
 import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 import kotlinx.collections.immutable.persistentListOf
 import org.shallotplank.core.ServiceName
 import org.shallotplank.core.Step
@@ -151,9 +152,24 @@
     return (all * CONNECTION_SHARE / entryCount).toInt().coerceAtLeast(1)
 }
 
-/** Pause after which a caller that found no upstream may come back; spread over its length. */
-internal fun spreadReturn(context: GatewayContext): Duration =
-    MIN_RETURN + RETURN_SPREAD * context.random.nextDouble()
+/**
+ * Pause after which a caller that found no upstream of [service] may come back.
+ *
+ * Most callers come back once only. While no upstream answers at all, that should be as late as
+ * they may wait, since processes and groups take seconds to start.
+ */
+internal fun GatewayState.returnTo(service: ServiceName, context: GatewayContext): Duration {
+    val lastAnswerAt = upstreamsOf(service).maxOfOrNull { it.lastHeadAt } ?: Instant.DISTANT_PAST
+    val isOut = context.now - lastAnswerAt >= OUTAGE_SILENCE
+    return if (isOut) outageReturn(context) else spread(MIN_RETURN, RETURN_SPREAD, context)
+}
+
+/** Pause after which a caller may come back from an outage. */
+internal fun outageReturn(context: GatewayContext): Duration =
+    spread(MIN_OUTAGE_RETURN, OUTAGE_RETURN_SPREAD, context)
+
+private fun spread(least: Duration, spread: Duration, context: GatewayContext): Duration =
+    least + spread * context.random.nextDouble()
 
 /** Bounds the memory of waiting requests; the deadline refuses most before that. */
 private const val MAX_QUEUED = 256
@@ -179,3 +195,10 @@
 private const val CONNECTION_SHARE = 0.8
 private val MIN_RETURN = 300.milliseconds
 private val RETURN_SPREAD = 900.milliseconds
+
+/** A service of which nothing was heard for so long is out; several passes of its engines. */
+private val OUTAGE_SILENCE = 500.milliseconds
+
+/** A process is back within two seconds, and its group forms in less than one. */
+private val MIN_OUTAGE_RETURN = 1_300.milliseconds
+private val OUTAGE_RETURN_SPREAD = 1_200.milliseconds
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -22,7 +22,8 @@
     val ended = if (call.isAnswerBegun) {
         cut(call, reason)
     } else {
-        refuse(call, reason, spreadReturn(context).takeIf { !call.mayHaveRun }, isAdmitted = true)
+        val retryAfter = returnTo(call.service, context).takeIf { !call.mayHaveRun }
+        refuse(call, reason, retryAfter, isAdmitted = true)
     }
     return ended.then { it.freePlace(call, context) }
 }
@@ -105,7 +106,7 @@
     val ended = overdue.fold(GatewayStep(this)) { step, call ->
         step.then { it.endOverdue(call, context) }
     }
-    return ended.then { it.resizeQueues(context) }
+    return ended.then { it.expireEarly(context) }.then { it.resizeQueues(context) }
 }
 
 private fun slackOf(call: GatewayCall): Duration =
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
@@ -31,7 +31,8 @@
         is GatewayEvent.PeersReported -> onPeersReported(event, context)
         is GatewayEvent.PausesObserved -> onPausesObserved(event.pauses, context)
         is GatewayEvent.CrashLearned -> Step(copy(quarantine = quarantine.merge(event.record)))
-        is GatewayEvent.ReadinessChanged -> Step(copy(isReady = event.isReady))
+        is GatewayEvent.ReadinessChanged ->
+            copy(isReady = event.isReady).releaseEarly(context)
         is GatewayEvent.SettingsChanged -> Step(copy(settings = event.settings))
         GatewayEvent.StopRequested -> Step(copy(isStopping = true))
         GatewayEvent.Tick -> onTick(context)
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
@@ -1,6 +1,7 @@
 package org.shallotplank.core.gateway
 
 import kotlin.time.Instant
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
@@ -22,6 +23,7 @@
  * Everything that decides what a gateway entry does with requests.
  *
  * @property isReady whether what is believed is fresh enough to act on.
+ * @property early requests that came before the entry was ready, in order of arrival.
  * @property outOfService zones whose upstreams get nothing.
  * @property entryCount entries that may be running, among which global bounds are shared.
  * @property entries the same entries and where they run, among which upstreams are divided.
@@ -32,6 +34,7 @@
     val routes: RouteTable? = null,
     val isReady: Boolean = false,
     val isStopping: Boolean = false,
+    val early: PersistentList<GatewayRequest> = persistentListOf(),
     val calls: PersistentMap<RequestId, GatewayCall> = persistentMapOf(),
     val upstreams: PersistentMap<UpstreamKey, GatewayUpstream> = persistentMapOf(),
     val outOfService: PersistentSet<ZoneName> = persistentSetOf(),
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
@@ -24,7 +24,9 @@
         "services" to table.services.size,
         "credentials" to table.customersByCredential.size
     )
-    return copy(routes = table).logged(record).then { it.resizeQueues(context) }
+    return copy(routes = table).logged(record)
+        .then { it.resizeQueues(context) }
+        .then { it.releaseEarly(context) }
 }
 
 /** Follows the list of upstreams; what runs at one that left it goes on. */
