Know the first demand after one round, and send callers back from an outage sooner

Change: 0.6 to 1.8 s; a keeper that knows no demand takes the first round with five tokens an expert. Test: GroupDemandTest.WhenNothingIsKnown.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupDemand.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupDemand.kt
@@ -34,8 +34,9 @@
      * A round with too few tokens to tell is continued.
      */
     internal fun endRound(halfLife: Duration): GroupDemand {
+        if (!popularity.isKnown) return endFirstRound(halfLife)
         if (round.tokensPerExpert < MIN_TOKENS_PER_EXPERT) return this
-        val isKnown = popularity.isKnown && round.distanceTo(popularity) <= MAX_DISTANCE
+        val isKnown = round.distanceTo(popularity) <= MAX_DISTANCE
         val isRepeated = movingRounds > 0 && round.distanceTo(lastRound) <= MAX_DISTANCE
         return when {
             isKnown -> next(popularity.plus(round, halfLife))
@@ -46,6 +47,12 @@
         }
     }
 
+    /** Anything that is known is better than the map with which a group opens. */
+    private fun endFirstRound(halfLife: Duration): GroupDemand {
+        if (round.tokensPerExpert < MIN_FIRST_TOKENS_PER_EXPERT) return this
+        return next(popularity.plus(round, halfLife), jumps = jumps + 1)
+    }
+
     private fun next(popularity: ExpertPopularity, jumps: Int = this.jumps, movingRounds: Int = 0) =
         GroupDemand(popularity, jumps, round.cleared(), lastRound = round, movingRounds)
 
@@ -58,6 +65,9 @@
         /** Mean tokens of an expert below which the shares of a round are mostly noise. */
         private const val MIN_TOKENS_PER_EXPERT = 20.0
 
+        /** Enough to tell the few experts that take most of the tokens. */
+        private const val MIN_FIRST_TOKENS_PER_EXPERT = 5.0
+
         /**
          * Part of the tokens that goes to other experts from which on demand has jumped; twice what
          * rounds differ by while nothing changes, see docs/MEASUREMENTS.md.
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -155,8 +155,8 @@
 /**
  * Pause after which a caller that found no upstream of [service] may come back.
  *
- * Most callers come back once only. While no upstream answers at all, that should be as late as
- * they may wait, since processes and groups take seconds to start.
+ * Most callers come back once only. While no upstream answers at all, that should not be before
+ * processes and groups that start can serve them.
  */
 internal fun GatewayState.returnTo(service: ServiceName, context: GatewayContext): Duration {
     val lastAnswerAt = upstreamsOf(service).maxOfOrNull { it.lastHeadAt } ?: Instant.DISTANT_PAST
@@ -199,6 +199,6 @@
 /** A service of which nothing was heard for so long is out; several passes of its engines. */
 private val OUTAGE_SILENCE = 500.milliseconds
 
-/** A process is back within two seconds, and its group forms in less than one. */
-private val MIN_OUTAGE_RETURN = 1_300.milliseconds
+/** A process that starts again serves within a second, and a group forms in about as long. */
+private val MIN_OUTAGE_RETURN = 600.milliseconds
 private val OUTAGE_RETURN_SPREAD = 1_200.milliseconds
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupDemandTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupDemandTest.kt
@@ -34,6 +34,20 @@
         }
     }
 
+    /** Load pattern: a group opens anew after an outage, and little is served at first. */
+    @Nested
+    inner class WhenNothingIsKnown {
+        @Test
+        fun `is settled after one round with few tokens`() {
+            val few = listOf(IntArray(EXPERTS) { if (it == 5) 5 * EXPERTS else 4 })
+            val demand = unknown().plus(few, now).endRound(HALF_LIFE)
+
+            assertTrue(demand.isSettled)
+            assertEquals(1, demand.jumps)
+            assertTrue(demand.popularity.shares(0)[5] > HOT_SHARE)
+        }
+    }
+
     @Nested
     inner class WhenDemandJumps {
         private val before = unknown().rounds(12, hot = 3)
