Start with a share of the slots, and use kept connections first

Change: for a second after it became ready, an entry that has heard of no other one takes only the share that no entry is denied; among upstreams with the same load, one whose connection is probably still open goes first. Tests: GatewayReducerTest.AnEntryThatHasJustStarted, AKeptConnection.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/EarlyRequests.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/EarlyRequests.kt
@@ -27,6 +27,14 @@
     return copy(early = early.add(request)).logged(record)
 }
 
+internal fun GatewayState.onReadinessChanged(
+    isReady: Boolean,
+    context: GatewayContext
+): GatewayStep {
+    val since = if (isReady && !this.isReady) context.now else readySince
+    return copy(isReady = isReady, readySince = since).releaseEarly(context)
+}
+
 /** Takes up the early requests, once they can be served. */
 internal fun GatewayState.releaseEarly(context: GatewayContext): GatewayStep {
     if (early.isEmpty() || !isReady || routes == null) return Step(this)
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -33,9 +33,14 @@
     val others = usable.sumOf { it.othersOutstanding }
     val places = placesAtPace(service, slots)
     val share = ceil(places.toDouble() / entryCount * GUARANTEED_SHARE).toInt()
-    return maxOf(places - others, share)
+    return if (isUnacquainted(context)) share else maxOf(places - others, share)
 }
 
+/** Entries that start together have not heard of each other yet. */
+private fun GatewayState.isUnacquainted(context: GatewayContext): Boolean = entryCount > 1 &&
+    servingEntries.isEmpty() &&
+    context.now - readySince < ACQUAINTANCE_TIME
+
 /** Takes over a queue and carries out its decisions. */
 internal fun GatewayState.applied(
     service: ServiceName,
@@ -124,15 +129,21 @@
                 it.record.id !in call.excluded &&
                 it.hasRateLeft(rate?.let { all -> shareOf(all, it) }, context.now)
         }
-        .minByOrNull { score(it, context) }
+        .minByOrNull { score(it, call, context) }
 }
 
 /** Estimated cost of sending a request to [upstream]; lower is better. */
-private fun GatewayState.score(upstream: GatewayUpstream, context: GatewayContext): Double {
+private fun GatewayState.score(
+    upstream: GatewayUpstream,
+    call: GatewayCall,
+    context: GatewayContext
+): Double {
     val distance = if (upstream.record.zone == settings.zone) 0.0 else OTHER_ZONE_COST
     val full = if (context.now < upstream.fullUntil) FULL_COST else 0.0
     val foreign = if (upstream.ownership?.isPreferred == false) FOREIGN_COST else 0.0
-    return upstream.utilization() + distance + full + foreign +
+    val isKept = call.route.isIdempotent && context.now < upstream.keptUntil
+    val connecting = if (isKept) 0.0 else CONNECTING_COST
+    return upstream.utilization() + distance + full + foreign + connecting +
         context.random.nextDouble() * TIE_BREAK
 }
 
@@ -177,10 +188,16 @@
 /** Part of an equal share of the slots that an entry may always use. */
 private const val GUARANTEED_SHARE = 0.5
 
+/** Entries that start at the same moment are ready and have asked each other within this time. */
+private val ACQUAINTANCE_TIME = 1_000.milliseconds
+
 /** Traffic between zones is priced; worth less than one slot of an upstream. */
 private const val OTHER_ZONE_COST = 0.02
 private const val FULL_COST = 1.0
 
+/** A new connection takes a few milliseconds; worth less than one slot of an upstream. */
+private const val CONNECTING_COST = 0.08
+
 /**
  * What other entries have at their own upstreams is known late; a third of the slots is more than
  * what usually changes until it is known.
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -123,7 +123,7 @@
         "age_ms" to (context.now - call.request.arrivedAt).inWholeMilliseconds
     )
     val cleared = copy(quarantine = quarantine.answered(call.fingerprint, context.now))
-    return cleared.update(open.sent.upstream) { it.ended() }
+    return cleared.update(open.sent.upstream) { it.endedWhole(context.now) }
         .logged(record)
         .then { it.release(call, context) }
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
@@ -32,7 +32,7 @@
         is GatewayEvent.PausesObserved -> onPausesObserved(event.pauses, context)
         is GatewayEvent.CrashLearned -> Step(copy(quarantine = quarantine.merge(event.record)))
         is GatewayEvent.ReadinessChanged ->
-            copy(isReady = event.isReady).releaseEarly(context)
+            onReadinessChanged(event.isReady, context)
         is GatewayEvent.SettingsChanged -> Step(copy(settings = event.settings))
         GatewayEvent.StopRequested -> Step(copy(isStopping = true))
         GatewayEvent.Tick -> onTick(context)
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
@@ -23,6 +23,7 @@
  * Everything that decides what a gateway entry does with requests.
  *
  * @property isReady whether what is believed is fresh enough to act on.
+ * @property readySince when it last became ready.
  * @property early requests that came before the entry was ready, in order of arrival.
  * @property outOfService zones whose upstreams get nothing.
  * @property entryCount entries that may be running, among which global bounds are shared.
@@ -33,6 +34,7 @@
     val settings: GatewaySettings,
     val routes: RouteTable? = null,
     val isReady: Boolean = false,
+    val readySince: Instant = Instant.DISTANT_PAST,
     val isStopping: Boolean = false,
     val early: PersistentList<GatewayRequest> = persistentListOf(),
     val calls: PersistentMap<RequestId, GatewayCall> = persistentMapOf(),
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
@@ -21,6 +21,7 @@
  * @property failures attempts in a row that failed.
  * @property blockedUntil before that, nothing is sent.
  * @property fullUntil before that, it is thought to have no place.
+ * @property keptUntil before that, a connection of its last answer is probably still open.
  * @property misdirectedAddress an address at which another process answered.
  * @property ownership this entry's place among those that share it, null before it is known.
  * @property suspects requests that were lost there lately, which may have crashed it.
@@ -35,6 +36,7 @@
     val blockedUntil: Instant = Instant.DISTANT_PAST,
     val fullUntil: Instant = Instant.DISTANT_PAST,
     val lastHeadAt: Instant = Instant.DISTANT_PAST,
+    val keptUntil: Instant = Instant.DISTANT_PAST,
     val misdirectedAddress: Address? = null,
     val ownership: OwnershipPlace? = null,
     val suspects: PersistentSet<Suspect> = persistentSetOf()
@@ -61,6 +63,7 @@
 
     internal fun sent(now: Instant): GatewayUpstream = copy(
         outstanding = outstanding + 1,
+        keptUntil = Instant.DISTANT_PAST,
         recentSends = recentSends.removeAll { now - it >= RATE_WINDOW }.add(now)
     )
 
@@ -69,6 +72,10 @@
     internal fun answered(now: Instant): GatewayUpstream =
         copy(failures = 0, blockedUntil = Instant.DISTANT_PAST, lastHeadAt = now)
 
+    /** It gave a whole answer, after which most upstreams keep the connection for a while. */
+    internal fun endedWhole(now: Instant): GatewayUpstream =
+        ended().copy(keptUntil = now + KEPT_TIME)
+
     internal fun failed(now: Instant): GatewayUpstream {
         val doublings = failures.coerceAtMost(MAX_DOUBLINGS)
         return copy(failures = failures + 1, blockedUntil = now + FIRST_BLOCK * (1 shl doublings))
@@ -82,6 +89,9 @@
         /** Span of the rates that cold upstreams bear, which are given a second. */
         val RATE_WINDOW: Duration = 1.seconds
 
+        /** Connections are kept for 250 ms where upstreams state nothing, less the way there. */
+        private val KEPT_TIME = 200.milliseconds
+
         /** Pause after a first failure; a tenth of the time in which a crashed engine returns. */
         private val FIRST_BLOCK = 250.milliseconds
 
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
@@ -85,6 +85,73 @@
         }
     }
 
+    /** Load pattern: many upstreams with little load each, whose connections are soon closed. */
+    @Nested
+    inner class AKeptConnection {
+        private val upstreams = (0 until 6).map { listedUpstream("$it") }.toTypedArray()
+
+        private fun answered(id: String): UpstreamKey {
+            val send = sent(id)
+            emit(GatewayEvent.AnswerEnded(RequestId(id), send.attempt, status = 200))
+            return send.upstream
+        }
+
+        @Test
+        fun `is used again while its upstream is as free as the others`() {
+            serve(*upstreams)
+            val first = answered("1")
+            now += 100.milliseconds
+
+            assertEquals(first, sent("2").upstream)
+            assertTrue(sent("3").upstream != first)
+        }
+
+        @Test
+        fun `is of no use to a request that may run once`() {
+            serve(*upstreams)
+            val chosen = (0 until 40).map { request ->
+                answered("s$request")
+                now += 100.milliseconds
+                val send = sent("u$request", RequestKind.UNSAFE)
+                emit(GatewayEvent.AnswerEnded(RequestId("u$request"), send.attempt, status = 200))
+                now += 1.seconds
+                send.upstream
+            }
+            assertEquals(upstreams.size, chosen.distinct().size)
+        }
+    }
+
+    /** Load pattern: all entries start together, and callers of seconds come at once. */
+    @Nested
+    inner class AnEntryThatHasJustStarted {
+        private val engine = EngineProfile(eventStride = 4, stepTime = 4.milliseconds)
+
+        private fun sentOf(requests: Int): Int = (1..requests)
+            .flatMap { emit(arrival("r$it", RequestKind.STREAM, now)) }
+            .count { it is GatewayEffect.Send }
+
+        private fun start() {
+            emit(GatewayEvent.PeersReported(entryCount = 4, persistentMapOf()))
+            serve(
+                *(0 until 8).map { listedUpstream("$it", slots = 8) }.toTypedArray(),
+                table = testTable(engine = engine)
+            )
+        }
+
+        @Test
+        fun `takes no more than the share that no entry is denied`() {
+            start()
+            assertEquals(8, sentOf(requests = 40))
+        }
+
+        @Test
+        fun `takes what others leave once it had time to hear of them`() {
+            start()
+            now += 1.seconds
+            assertEquals(40, sentOf(requests = 40))
+        }
+    }
+
     /** Load pattern: all engines of a service are gone, and each caller comes back once. */
     @Nested
     inner class AnOutage {
