Let callers of a starting entry wait for a quarter of their time

Change: for two seconds after an entry became ready, a request may wait for a quarter of its time. Test: GatewayReducerTest.AnEntryThatHasJustStarted.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentListOf
 import org.shallotplank.core.CustomerName
 import org.shallotplank.core.RequestId
@@ -70,16 +71,25 @@
     val request = AdmissionRequest(
         id = call.request.id,
         customer = call.customer ?: ANONYMOUS,
-        startBy = minOf(call.deadline, call.request.arrivedAt + longestWait(call.route)),
+        startBy = minOf(call.deadline, call.request.arrivedAt + longestWait(call, context)),
         priority = Priority.entries[call.priority.coerceIn(Priority.entries.indices)]
     )
     val queue = queueOf(call.service, context)
     return applied(call.service, queue.offer(request, context.now, context.random), context)
 }
 
-/** How long a request of [route] may wait so that serving it is still of use. */
-private fun longestWait(route: Route): Duration =
-    route.goal * (if (route.kind == RequestKind.STREAM) STREAM_WAIT_SHARE else PLAIN_WAIT_SHARE)
+/**
+ * How long a request may wait so that serving it is still of use.
+ *
+ * Just after a start that is longer: most callers have been refused or cut off before, and come
+ * back no more.
+ */
+private fun GatewayState.longestWait(call: GatewayCall, context: GatewayContext): Duration {
+    val isStream = call.route.kind == RequestKind.STREAM
+    val usual = call.route.goal * (if (isStream) STREAM_WAIT_SHARE else PLAIN_WAIT_SHARE)
+    if (context.now - readySince >= RECOVERY_TIME) return usual
+    return maxOf(usual, (call.deadline - call.request.arrivedAt) * RECOVERY_WAIT_SHARE)
+}
 
 internal fun GatewayState.refuseUnknown(
     request: GatewayRequest,
@@ -136,5 +146,11 @@
 /** Plain requests keep most of their worth for a while after the goal. */
 private const val PLAIN_WAIT_SHARE = 1.5
 
+/** Entries and groups that start together serve fully after about this time. */
+private val RECOVERY_TIME = 2.seconds
+
+/** Part of its time that a request may wait then; less than what a caller waits to come back. */
+private const val RECOVERY_WAIT_SHARE = 0.25
+
 /** A request that crashed upstreams has no better time to come back. */
 private val QUARANTINE_RETURN = 60_000.milliseconds
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
@@ -144,6 +144,20 @@
             assertEquals(8, sentOf(requests = 40))
         }
 
+        @Test
+        fun `lets the others wait for a quarter of their time`() {
+            start()
+            sentOf(requests = 20)
+            now += 700.milliseconds
+            assertEquals(
+                emptyList(),
+                emit(GatewayEvent.Tick).filterIsInstance<GatewayEffect.Refuse>()
+            )
+
+            now += 100.milliseconds
+            assertEquals(12, emit(GatewayEvent.Tick).filterIsInstance<GatewayEffect.Refuse>().size)
+        }
+
         @Test
         fun `takes what others leave once it had time to hear of them`() {
             start()
