--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -168,15 +168,8 @@
         counts = counts.put(event.rank, event.counts),
         latestStep = maxOf(latestStep, event.step)
     )
-    return (
-        if (before ==
-            null
-        ) {
-            known
-        } else {
-            known.addTokens(before, event, now)
-        }
-        ).noteAnswer(event.rank)
+    val told = if (before == null) known else known.addTokens(before, event, now)
+    return told.noteAnswer(event.rank)
 }
 
 /** Ends the round once the last rank that was asked has answered. */
