--- a/core/src/main/kotlin/org/shallotplank/core/gateway/EarlyRequests.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/EarlyRequests.kt
@@ -57,16 +57,18 @@
 private fun GatewayState.refuseEarly(
     request: GatewayRequest,
     context: GatewayContext
-): GatewayStep = refuseUnknown(request, STATUS_UNAVAILABLE, GatewayRefusal.NOT_CONFIGURED, context)
+): GatewayStep = refuseUnknown(
+    request,
+    STATUS_UNAVAILABLE,
+    GatewayRefusal.NOT_CONFIGURED,
+    outageReturn(context)
+)
 
 private fun longestWait(request: GatewayRequest): Duration =
-    minOf(EARLY_WAIT, request.timeLeft?.times(EARLY_SHARE) ?: EARLY_WAIT)
+    minOf(EARLY_WAIT, request.timeLeft?.times(START_WAIT_SHARE) ?: EARLY_WAIT)
 
 /** A process reads its tables within 0.3 s of its start; twice that, with a loaded store. */
 private val EARLY_WAIT = 600.milliseconds
 
-/** Part of the caller's time after which it is better off elsewhere. */
-private const val EARLY_SHARE = 0.25
-
 /** Bounds the memory of requests that wait; a second of the arrivals of a busy entry. */
 private const val MAX_EARLY = 256
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -20,10 +20,10 @@
     val table = routes?.takeIf { isReady } ?: return holdEarly(request, context)
     val path = request.path.substringBefore('?')
     val route = table.match(request.host, path)
-        ?: return refuseUnknown(request, STATUS_NOT_FOUND, GatewayRefusal.NO_ROUTE, context)
+        ?: return refuseUnknown(request, STATUS_NOT_FOUND, GatewayRefusal.NO_ROUTE)
     val holder = request.credential?.let { table.customersByCredential[it] }
     if (table.requiresCredentials && !route.isOpen && holder == null) {
-        return refuseUnknown(request, STATUS_UNAUTHORIZED, GatewayRefusal.UNAUTHORIZED, context)
+        return refuseUnknown(request, STATUS_UNAUTHORIZED, GatewayRefusal.UNAUTHORIZED)
     }
     val service = drawService(route, context)
     val patience = request.timeLeft
@@ -88,14 +88,14 @@
     val isStream = call.route.kind == RequestKind.STREAM
     val usual = call.route.goal * (if (isStream) STREAM_WAIT_SHARE else PLAIN_WAIT_SHARE)
     if (context.now - readySince >= RECOVERY_TIME) return usual
-    return maxOf(usual, (call.deadline - call.request.arrivedAt) * RECOVERY_WAIT_SHARE)
+    return maxOf(usual, (call.deadline - call.request.arrivedAt) * START_WAIT_SHARE)
 }
 
 internal fun GatewayState.refuseUnknown(
     request: GatewayRequest,
     status: Int,
     reason: GatewayRefusal,
-    context: GatewayContext
+    retryAfter: Duration? = null
 ): GatewayStep {
     val record = logRecord(
         LogEvent.GATEWAY_REJECTED,
@@ -108,7 +108,6 @@
         "configuration" to routes?.version,
         "ready" to isReady
     )
-    val retryAfter = outageReturn(context).takeIf { reason == GatewayRefusal.NOT_CONFIGURED }
     val refuse = GatewayEffect.Refuse(request.id, status, reason, retryAfter)
     return Step(this, persistentListOf(refuse, GatewayEffect.Log(record)))
 }
@@ -149,8 +148,10 @@
 /** Entries and groups that start together serve fully after about this time. */
 private val RECOVERY_TIME = 2.seconds
 
-/** Part of its time that a request may wait then; less than what a caller waits to come back. */
-private const val RECOVERY_WAIT_SHARE = 0.25
+/**
+ * Part of its time that a request may wait for a start; less than what a caller waits to come back.
+ */
+internal const val START_WAIT_SHARE = 0.25
 
 /** A request that crashed upstreams has no better time to come back. */
 private val QUARANTINE_RETURN = 60_000.milliseconds
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/EntryFleetTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/EntryFleetTest.kt
@@ -30,9 +30,7 @@
                 reportInterval = 760.milliseconds
             )
             fleet.play(load = 0.6, duration = 12.seconds)
-
-            val share = fleet.rejected.toDouble() / fleet.sent
-            assertTrue(share <= 0.02, "${fleet.rejected} of ${fleet.sent} rejected")
+            fleet.assertFewRejected()
         }
     }
 
@@ -47,11 +45,14 @@
                 reportInterval = 250.milliseconds
             )
             fleet.play(load = 0.6, duration = 12.seconds)
-
-            val share = fleet.rejected.toDouble() / fleet.sent
-            assertTrue(share <= 0.02, "${fleet.rejected} of ${fleet.sent} rejected")
+            fleet.assertFewRejected()
         }
     }
+
+    private fun EntryFleet.assertFewRejected() {
+        val share = rejected.toDouble() / sent
+        assertTrue(share <= 0.02, "$rejected of $sent rejected")
+    }
 }
 
 /** Gateway entries on one virtual clock before engines that reject what exceeds their slots. */
--- /dev/null
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayStartTest.kt
@@ -0,0 +1,146 @@
+package org.shallotplank.core.gateway
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.junit.jupiter.api.Nested
+import org.shallotplank.core.RequestId
+
+/** Entries, engines and groups that have just started, or that are all away. */
+class GatewayStartTest : GatewayReducerFixture() {
+    @Nested
+    inner class AnUnconfiguredEntry {
+        @Test
+        fun `refuses with a time to come back after as long as a start takes`() {
+            assertEquals(emptyList(), emit(arrival("1", RequestKind.SAFE, now)))
+            now += 550.milliseconds
+            assertEquals(emptyList(), emit(GatewayEvent.Tick))
+
+            now += 100.milliseconds
+            val refusal = assertIs<GatewayEffect.Refuse>(emit(GatewayEvent.Tick).single())
+            assertEquals(503, refusal.status)
+            assertNotNull(refusal.retryAfter)
+        }
+
+        @Test
+        fun `serves what waits once it is configured`() {
+            emit(arrival("1", RequestKind.SAFE, now))
+            now += 200.milliseconds
+            emit(GatewayEvent.RoutesAccepted(testTable()))
+            emit(GatewayEvent.UpstreamsListed(persistentListOf(listedUpstream("u"))))
+            val send = emit(GatewayEvent.ReadinessChanged(isReady = true)).single()
+
+            assertEquals(RequestId("1"), assertIs<GatewayEffect.Send>(send).requestId)
+        }
+
+        @Test
+        fun `forgets a caller that leaves`() {
+            emit(arrival("1", RequestKind.SAFE, now))
+            emit(GatewayEvent.CallerLeft(RequestId("1")))
+            now += 1.seconds
+            assertEquals(emptyList(), emit(GatewayEvent.Tick))
+        }
+
+        @Test
+        fun `refuses at once what is short of time or more than it may hold`() {
+            val effects = (0..256).flatMap { emit(arrival("r$it", RequestKind.SAFE, now)) }
+            assertEquals(
+                RequestId("r256"),
+                assertIs<GatewayEffect.Refuse>(effects.single()).requestId
+            )
+        }
+    }
+
+    /** Load pattern: all entries start together, and callers of seconds come at once. */
+    @Nested
+    inner class AnEntryThatHasJustStarted {
+        private val engine = EngineProfile(eventStride = 4, stepTime = 4.milliseconds)
+
+        private fun sentOf(requests: Int): Int = (1..requests)
+            .flatMap { emit(arrival("r$it", RequestKind.STREAM, now)) }
+            .count { it is GatewayEffect.Send }
+
+        private fun start() {
+            emit(GatewayEvent.PeersReported(entryCount = 4, persistentMapOf()))
+            serve(
+                *(0 until 8).map { listedUpstream("$it", slots = 8) }.toTypedArray(),
+                table = testTable(engine = engine)
+            )
+        }
+
+        @Test
+        fun `takes no more than the share that no entry is denied`() {
+            start()
+            assertEquals(8, sentOf(requests = 40))
+        }
+
+        @Test
+        fun `lets the others wait for a quarter of their time`() {
+            start()
+            sentOf(requests = 20)
+            now += 700.milliseconds
+            assertEquals(
+                emptyList(),
+                emit(GatewayEvent.Tick).filterIsInstance<GatewayEffect.Refuse>()
+            )
+
+            now += 100.milliseconds
+            assertEquals(12, emit(GatewayEvent.Tick).filterIsInstance<GatewayEffect.Refuse>().size)
+        }
+
+        @Test
+        fun `takes what others leave once it had time to hear of them`() {
+            start()
+            now += 1.seconds
+            assertEquals(40, sentOf(requests = 40))
+        }
+    }
+
+    /** Load pattern: all engines of a service are gone, and each caller comes back once. */
+    @Nested
+    inner class AnOutage {
+        @Test
+        fun `sends callers back later than a single failure does`() {
+            serve(listedUpstream("u"))
+            repeat(20) { request ->
+                now += 10.milliseconds
+                sent("$request")
+                val event = GatewayEvent.ConnectFailed(
+                    RequestId("$request"),
+                    1,
+                    ConnectFailure.REFUSED
+                )
+                val refusal = assertIs<GatewayEffect.Refuse>(emit(event).single())
+                assertTrue(assertNotNull(refusal.retryAfter) >= 600.milliseconds)
+                now += 5.seconds
+            }
+        }
+
+        @Test
+        fun `is over with the first answer`() {
+            serve(listedUpstream("u"), listedUpstream("v"))
+            sent("1")
+            emit(GatewayEvent.HeadReceived(RequestId("1"), 1, 200, load = null))
+            sent("2")
+            emit(GatewayEvent.ConnectFailed(RequestId("2"), 1, ConnectFailure.REFUSED))
+            emit(GatewayEvent.NotRun(RequestId("2"), 2, 503, isMisdirected = false))
+            val pauses = (3..22).map { arriveAndFail("$it").retryAfter }
+            assertTrue(pauses.any { assertNotNull(it) < 600.milliseconds }, "$pauses")
+        }
+
+        private fun arriveAndFail(id: String): GatewayEffect.Refuse {
+            var effect = arrive(id)
+            while (effect is GatewayEffect.Send) {
+                val event = GatewayEvent.NotRun(effect.requestId, effect.attempt, 503, false)
+                effect = emit(event).single()
+            }
+            return assertIs<GatewayEffect.Refuse>(effect)
+        }
+    }
+}
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
@@ -36,7 +36,7 @@
     /** Start of the process as a number that no earlier start of the same instance had. */
     public val incarnation: Long,
     /** The time of day, which also passes while the machine is suspended. */
-    public val wallClock: Clock = Clock.System
+    public val wallClock: Clock
 )
 
 /**
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
@@ -66,7 +66,8 @@
             clock = clock,
             random = Random(1),
             writer = JsonLogWriter("test", clock, Clock.System, OutputStream.nullOutputStream()),
-            incarnation = 1
+            incarnation = 1,
+            wallClock = Clock.System
         ),
         metrics = GatewayMetrics(),
         log = {}
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/TroubledUpstreamTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/TroubledUpstreamTest.kt
@@ -53,8 +53,10 @@
         assertTrue(bytes < MAX_FLOOD_BYTES, "took $bytes bytes")
     }
 
-    private fun assertFailed(reply: String) {
+    private fun assertEndsTheAttempt(flooding: ScriptedUpstream, kind: String = "unsafe") {
+        val reply = gateway(flooding).exchange(request(kind))
         assertTrue(reply.startsWith("HTTP/1.1 502"), reply.take(200))
+        assertClosedSoon()
     }
 
     @Nested
@@ -62,31 +64,27 @@
         @Test
         fun `in interim answers end the attempt`() {
             val only = flooding(head = { "" }, piece = "HTTP/1.1 102 Processing\r\n\r\n")
-            assertFailed(gateway(only).exchange(request("unsafe")))
-            assertClosedSoon()
+            assertEndsTheAttempt(only)
         }
 
         @Test
         fun `in answers to other requests end the attempt`() {
             val other = "HTTP/1.1 200 OK\r\nX-Attempt: other\r\nX-Stamp: s\r\n" +
                 "Content-Length: 2\r\n\r\nok"
-            assertFailed(gateway(flooding({ "" }, other)).exchange(request("unsafe")))
-            assertClosedSoon()
+            assertEndsTheAttempt(flooding({ "" }, other))
         }
 
         @Test
         fun `in the body of another request's answer end the attempt`() {
             val head = "HTTP/1.1 200 OK\r\nX-Attempt: other\r\nX-Stamp: s\r\n\r\n"
             val only = flooding({ head }, "x".repeat(1_000))
-            assertFailed(gateway(only).exchange(request("unsafe")))
-            assertClosedSoon()
+            assertEndsTheAttempt(only)
         }
 
         @Test
         fun `in a head end the attempt`() {
             val only = flooding(head = { "HTTP/1.1 200 OK\r\n" }, piece = "X-More: and more\r\n")
-            assertFailed(gateway(only).exchange(request("unsafe")))
-            assertClosedSoon()
+            assertEndsTheAttempt(only)
         }
     }
 
@@ -95,22 +93,19 @@
         @Test
         fun `in a chunk extension end the attempt`() {
             val only = flooding({ streamHead(it) + "1" }, ";more=and-more")
-            assertFailed(gateway(only).exchange(request("unsafe")))
-            assertClosedSoon()
+            assertEndsTheAttempt(only)
         }
 
         @Test
         fun `in a trailer end the attempt`() {
             val only = flooding({ streamHead(it) + chunk("ok") + "0\r\n" }, "X-More: and\r\n")
-            assertFailed(gateway(only).exchange(request("unsafe")))
-            assertClosedSoon()
+            assertEndsTheAttempt(only)
         }
 
         @Test
         fun `in an event end the attempt`() {
             val only = flooding({ streamHead(it) }, chunk("data: and more\n"))
-            assertFailed(gateway(only).exchange(request("stream")))
-            assertClosedSoon()
+            assertEndsTheAttempt(only, kind = "stream")
         }
 
         @Test
