Follow what upstreams say of themselves: that they leave, and for how long they pause

Cause: nothing read the header by which an engine says that it leaves, nor the Retry-After of its 503. Ruled out: setting the record's own flag (lost with the next row); up to two requests in a pause (allowed, but unwanted). Change: one event for the head of any answer, kept by incarnation apart from the list of upstreams; connections being made are given back; leaving ones are told to other entries; a service that pauses as a whole refuses at once with the time at which it resumes.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -3,6 +3,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 import kotlinx.collections.immutable.persistentListOf
 import org.shallotplank.core.CustomerName
 import org.shallotplank.core.RequestId
@@ -57,7 +58,7 @@
     return targets.last().service
 }
 
-private fun GatewayState.hasUsable(service: ServiceName, context: GatewayContext): Boolean =
+internal fun GatewayState.hasUsable(service: ServiceName, context: GatewayContext): Boolean =
     upstreamsOf(service).any { isInService(it) && it.isUsable(context.now) }
 
 private fun GatewayState.admit(call: GatewayCall, context: GatewayContext): GatewayStep {
@@ -65,19 +66,32 @@
     if (verdict == QuarantineVerdict.QUARANTINED) {
         return refuse(call, GatewayRefusal.QUARANTINED, QUARANTINE_RETURN)
     }
+    val startBy = startBy(call, context)
     if (!hasUsable(call.service, context)) {
-        return refuse(call, GatewayRefusal.NO_UPSTREAM, returnTo(call.service, context))
+        val resumesAt = resumesAt(call.service, context)
+        if (resumesAt == null || resumesAt > startBy) {
+            val reason = if (resumesAt == null) {
+                GatewayRefusal.NO_UPSTREAM
+            } else {
+                GatewayRefusal.UPSTREAMS_PAUSED
+            }
+            return refuse(call, reason, returnTo(call.service, context))
+        }
     }
     val request = AdmissionRequest(
         id = call.request.id,
         customer = call.customer ?: ANONYMOUS,
-        startBy = minOf(call.deadline, call.request.arrivedAt + longestWait(call, context)),
+        startBy = startBy,
         priority = Priority.entries[call.priority.coerceIn(Priority.entries.indices)]
     )
     val queue = queueOf(call.service, context)
     return applied(call.service, queue.offer(request, context.now, context.random), context)
 }
 
+/** When [call] has to start so that serving it is still of use. */
+internal fun GatewayState.startBy(call: GatewayCall, context: GatewayContext): Instant =
+    minOf(call.deadline, call.request.arrivedAt + longestWait(call, context))
+
 /**
  * How long a request may wait so that serving it is still of use.
  *
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -170,6 +170,9 @@
  * processes and groups that start can serve them.
  */
 internal fun GatewayState.returnTo(service: ServiceName, context: GatewayContext): Duration {
+    resumesAt(service, context)?.let { resumesAt ->
+        return (resumesAt - context.now) + RETURN_SPREAD * context.random.nextDouble()
+    }
     val lastAnswerAt = upstreamsOf(service).maxOfOrNull { it.lastHeadAt } ?: Instant.DISTANT_PAST
     val isOut = context.now - lastAnswerAt >= OUTAGE_SILENCE
     return if (isOut) outageReturn(context) else spread(MIN_RETURN, RETURN_SPREAD, context)
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
@@ -68,6 +68,9 @@
     /** No upstream may take it. */
     NO_UPSTREAM,
 
+    /** All upstreams asked for a pause that lasts longer than it may wait. */
+    UPSTREAMS_PAUSED,
+
     /** It crashed the upstreams that ran it. */
     QUARANTINED,
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -23,7 +23,8 @@
         cut(call, reason)
     } else {
         val retryAfter = returnTo(call.service, context).takeIf { !call.mayHaveRun }
-        refuse(call, reason, retryAfter, isAdmitted = true)
+        val isWaiting = queues[call.service]?.isWaiting(call.request.id) == true
+        refuse(call, reason, retryAfter, isAdmitted = !isWaiting)
     }
     return ended.then { it.freePlace(call, context) }
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -78,6 +78,15 @@
     /** The upstream refuses connections just after attempts there were lost. */
     public data class UpstreamCrashed(val upstream: UpstreamKey) : GatewayEvent
 
+    /** What an upstream said of itself in the head of an answer, whatever became of the answer. */
+    public data class UpstreamNotice(
+        val upstream: UpstreamKey,
+        /** Whether it takes no further requests. */
+        val isLeaving: Boolean,
+        /** Time for which it wants no requests from this entry. */
+        val pause: Duration?
+    ) : GatewayEvent
+
     /** A configuration came into force. */
     public data class RoutesAccepted(val routes: RouteTable) : GatewayEvent
 
@@ -96,7 +105,9 @@
         /** The same entries, as far as it is known where they run. */
         val entries: PersistentSet<EntryPlace> = persistentSetOf(),
         /** Those that serve now. */
-        val serving: PersistentSet<InstanceId> = persistentSetOf()
+        val serving: PersistentSet<InstanceId> = persistentSetOf(),
+        /** Upstreams that told other entries that they leave. */
+        val leaving: PersistentSet<UpstreamKey> = persistentSetOf()
     ) : GatewayEvent
 
     /** Another entry knows of crashes. */
@@ -123,7 +134,16 @@
 public data class EngineLoad(val running: Int, val waiting: Int, val slots: Int)
 
 /** Why a connection was not made. */
-public enum class ConnectFailure { REFUSED, TIMED_OUT, LOCAL_LIMIT }
+public enum class ConnectFailure {
+    REFUSED,
+    TIMED_OUT,
+
+    /** This entry has as many connections there as it may. */
+    LOCAL_LIMIT,
+
+    /** The upstream asked for no more requests while the connection was made. */
+    UNWANTED
+}
 
 /** Why an attempt was lost. */
 public enum class AttemptFailure {
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -33,7 +33,7 @@
 ): GatewayStep {
     val open = open(event.requestId, event.attempt) ?: return Step(this)
     val record = attemptFailed(open, "connect_${event.cause.name.lowercase()}", context.now)
-    val isUpstreams = event.cause != ConnectFailure.LOCAL_LIMIT
+    val isUpstreams = event.cause in upstreamFailures
     val call = open.callWithoutIt().copy(
         attemptsSent = open.call.attemptsSent - 1,
         connectFailures = open.call.connectFailures + 1
@@ -243,6 +243,9 @@
     "attempt_ms" to (now - open.sent.sentAt).inWholeMilliseconds
 )
 
+/** Failures to connect that are due to the upstream. */
+private val upstreamFailures = setOf(ConnectFailure.REFUSED, ConnectFailure.TIMED_OUT)
+
 private const val STATUS_SERVER_ERROR = 500
 private const val MAX_CONNECT_FAILURES = 3
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
@@ -29,6 +29,8 @@
  * @property entryCount entries that may be running, among which global bounds are shared.
  * @property entries the same entries and where they run, among which upstreams are divided.
  * @property servingEntries those that serve now.
+ * @property notices what upstreams asked for in their answers; bounded, and kept while they are not
+ *   listed, since a row may come back.
  */
 public data class GatewayState(
     val settings: GatewaySettings,
@@ -46,7 +48,8 @@
     val quarantine: Quarantine = Quarantine(),
     val entryCount: Int = 1,
     val entries: PersistentSet<EntryPlace> = persistentSetOf(),
-    val servingEntries: PersistentSet<InstanceId> = persistentSetOf()
+    val servingEntries: PersistentSet<InstanceId> = persistentSetOf(),
+    val notices: PersistentMap<UpstreamKey, KnownNotice> = persistentMapOf()
 ) {
     /** Attempts of this entry that have not ended, by upstream. */
     public val inFlight: Map<UpstreamKey, Int>
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
@@ -29,7 +29,11 @@
         .then { it.releaseEarly(context) }
 }
 
-/** Follows the list of upstreams; what runs at one that left it goes on. */
+/**
+ * Follows the list of upstreams; what runs at one that left it goes on.
+ *
+ * One that left is known for as long as what was sent there counts, since its row may come back.
+ */
 internal fun GatewayState.onUpstreamsListed(
     listed: PersistentList<ListedUpstream>,
     context: GatewayContext
@@ -38,12 +42,13 @@
         .associateBy { UpstreamKey(it.record.id, it.record.incarnation) }
     val next = upstreams.mutate { map ->
         for ((key, entry) in present) {
-            val known = map[key] ?: GatewayUpstream(entry.record)
+            val known = map[key]
+                ?: GatewayUpstream(entry.record, notice = notices[key] ?: KnownNotice())
             map[key] = known.copy(record = entry.record, missingSince = entry.missingSince)
         }
         for (gone in map.keys.filter { it !in present }) {
             val known = map.getValue(gone)
-            if (known.outstanding == 0) {
+            if (known.isIdle(context.now)) {
                 map.remove(gone)
             } else {
                 map[gone] = known.copy(record = known.record.copy(isLeaving = true))
@@ -125,5 +130,5 @@
             }
         }
     )
-    return counted.resizeQueues(context)
+    return counted.withLeaving(event.leaving, "peer").then { it.resizeQueues(context) }
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
@@ -22,6 +22,7 @@
  * @property blockedUntil before that, nothing is sent.
  * @property fullUntil before that, it is thought to have no place.
  * @property keptUntil before that, a connection of its last answer is probably still open.
+ * @property notice what it asked for in its answers, whatever its record says.
  * @property misdirectedAddress an address at which another process answered.
  * @property ownership this entry's place among those that share it, null before it is known.
  * @property suspects requests that were lost there lately, which may have crashed it.
@@ -37,6 +38,7 @@
     val fullUntil: Instant = Instant.DISTANT_PAST,
     val lastHeadAt: Instant = Instant.DISTANT_PAST,
     val keptUntil: Instant = Instant.DISTANT_PAST,
+    val notice: KnownNotice = KnownNotice(),
     val misdirectedAddress: Address? = null,
     val ownership: OwnershipPlace? = null,
     val suspects: PersistentSet<Suspect> = persistentSetOf()
@@ -46,9 +48,12 @@
     /** Attempts of all entries that have not ended, as far as known. */
     val totalOutstanding: Int get() = outstanding + othersOutstanding
 
+    /** Whether it goes on to take requests, as far as its record and answers say. */
+    internal val isStaying: Boolean get() = !record.isLeaving && !notice.isLeaving
+
     /** Whether new attempts may go there at [now], as far as its own state says. */
     internal fun isUsable(now: Instant): Boolean = when {
-        record.isLeaving || misdirectedAddress == record.address -> false
+        !isStaying || !notice.isWilling(now) || misdirectedAddress == record.address -> false
         failures == 0 -> true
         else -> now >= blockedUntil
     }
@@ -61,6 +66,10 @@
     internal fun hasRateLeft(ratePerSecond: Int?, now: Instant): Boolean =
         ratePerSecond == null || recentSends.count { now - it < RATE_WINDOW } < ratePerSecond
 
+    /** Whether nothing is lost by forgetting it once it is not listed. */
+    internal fun isIdle(now: Instant): Boolean =
+        outstanding == 0 && recentSends.none { now - it < RATE_WINDOW }
+
     internal fun sent(now: Instant): GatewayUpstream = copy(
         outstanding = outstanding + 1,
         keptUntil = Instant.DISTANT_PAST,
--- a/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
@@ -65,6 +65,8 @@
     CALLER_MESSAGE_INVALID(5018, Severity.INFO, "message of a caller cannot be taken"),
     LINES_LEFT_OUT(5019, Severity.WARN, "log lines left out to bound the volume"),
     SETTINGS_RELOADED(5020, Severity.INFO, "settings read again"),
+    GATEWAY_UPSTREAM_LEAVING(5021, Severity.INFO, "upstream said that it leaves"),
+    GATEWAY_UPSTREAM_PAUSED(5022, Severity.INFO, "upstream asked for a pause"),
     PROCESS_STARTED(9001, Severity.INFO, "process started"),
     PROCESS_DRAINING(9002, Severity.INFO, "process stops taking work"),
     PROCESS_STOPPED(9003, Severity.INFO, "process stopped"),
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayFuzz.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayFuzz.kt
@@ -53,7 +53,10 @@
     private val firstTimes = mutableListOf<Instant>()
     private val repeatTimes = mutableListOf<Instant>()
     private var nextId = 0
+    private val restarts = LongArray(3) { 1 }
     private var leaving = setOf<String>()
+    private val saidLeaving = mutableSetOf<UpstreamKey>()
+    private val pausedUntil = HashMap<UpstreamKey, Instant>()
     private var outOfService = setOf<ZoneName>()
 
     private class Request(val kind: RequestKind) {
@@ -104,7 +107,12 @@
     }
 
     private fun change() {
-        when (random.nextInt(3)) {
+        when (random.nextInt(5)) {
+            3 -> state.upstreams.keys.randomOrNull(random)?.let { notice(it) }
+            4 -> {
+                restarts[random.nextInt(restarts.size)]++
+                list()
+            }
             0 -> {
                 leaving = setOf("u0", "u1", "u2").filter { random.nextInt(4) == 0 }.toSet()
                 list()
@@ -123,9 +131,21 @@
         }
     }
 
+    private fun notice(upstream: UpstreamKey) {
+        val isLeaving = random.nextInt(3) == 0
+        val pause = random.nextInt(3_000).milliseconds.takeIf { !isLeaving }
+        if (isLeaving) saidLeaving += upstream
+        if (pause != null) pausedUntil.merge(upstream, now + pause) { a, b -> maxOf(a, b) }
+        emit(GatewayEvent.UpstreamNotice(upstream, isLeaving, pause))
+    }
+
     private fun list() {
-        val listed = (0..2).map { index ->
-            val entry = listedUpstream("u$index", zone = if (index == 0) "a" else "b")
+        val listed = (0..2).filter { random.nextInt(6) > 0 }.map { index ->
+            val entry = listedUpstream(
+                "u$index",
+                zone = if (index == 0) "a" else "b",
+                incarnation = restarts[index]
+            )
             entry.copy(record = entry.record.copy(isLeaving = "u$index" in leaving))
         }
         emit(GatewayEvent.UpstreamsListed(listed.toPersistentList()))
@@ -193,6 +213,9 @@
         )
         val upstream = state.upstreams.getValue(send.upstream).record
         assertTrue(!upstream.isLeaving && upstream.zone !in outOfService, "sent to $upstream")
+        assertTrue(send.upstream !in saidLeaving, "sent to $upstream, which said that it leaves")
+        val isPaused = now < (pausedUntil[send.upstream] ?: Instant.DISTANT_PAST)
+        assertTrue(!isPaused, "sent to $upstream in its pause")
         val times = sendTimes.getOrPut(send.upstream) { mutableListOf() }
         times += now
         val inSecond = times.count { now - it < 1.seconds }
--- /dev/null
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/UpstreamNoticesTest.kt
@@ -0,0 +1,232 @@
+package org.shallotplank.core.gateway
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import org.junit.jupiter.api.Nested
+import org.shallotplank.core.RequestId
+
+/** What an entry does with what upstreams say of themselves in their answers. */
+class UpstreamNoticesTest : GatewayReducerFixture() {
+    private val u = listedUpstream("u", slots = 32)
+    private val v = listedUpstream("v", slots = 32)
+
+    private fun keyOf(listed: ListedUpstream) =
+        UpstreamKey(listed.record.id, listed.record.incarnation)
+
+    private fun list(vararg listed: ListedUpstream) =
+        emit(GatewayEvent.UpstreamsListed(listed.toList().toPersistentList()))
+
+    private fun saysLeaving(upstream: ListedUpstream) =
+        emit(GatewayEvent.UpstreamNotice(keyOf(upstream), isLeaving = true, pause = null))
+
+    private fun asksForPause(upstream: ListedUpstream, pause: Duration) =
+        emit(GatewayEvent.UpstreamNotice(keyOf(upstream), isLeaving = false, pause))
+
+    private fun refused(id: String): GatewayEffect.Refuse =
+        assertIs<GatewayEffect.Refuse>(arrive(id))
+
+    private fun notRun(send: GatewayEffect.Send) =
+        emit(GatewayEvent.NotRun(send.requestId, send.attempt, 503, isMisdirected = false))
+
+    @Nested
+    inner class AnUpstreamThatSaidThatItLeaves {
+        @Test
+        fun `gets nothing more while its row says ready, and when it says so again`() {
+            serve(u, v)
+            saysLeaving(u)
+            repeat(8) { assertEquals(keyOf(v), sent("a$it").upstream) }
+
+            list(u, v)
+            repeat(8) { assertEquals(keyOf(v), sent("b$it").upstream) }
+        }
+
+        @Test
+        fun `gets nothing after its row lapsed and came back`() {
+            serve(u, v)
+            saysLeaving(u)
+            list(v)
+            list(u, v)
+            repeat(8) { assertEquals(keyOf(v), sent("$it").upstream) }
+        }
+
+        @Test
+        fun `is in use again as another process under its name`() {
+            serve(u)
+            saysLeaving(u)
+            assertEquals(503, refused("1").status)
+
+            val next = listedUpstream("u", incarnation = 2)
+            list(next)
+            assertEquals(keyOf(next), sent("2").upstream)
+        }
+
+        @Test
+        fun `gets neither a repeat, nor a resumption, nor what waits`() {
+            serve(listedUpstream("u", slots = 1), listedUpstream("v", slots = 1))
+            val first = sent("1", RequestKind.STREAM)
+            val second = sent("2", RequestKind.STREAM)
+            assertEquals(emptyList(), emit(arrival("3", RequestKind.STREAM, now)))
+            val upstreamOfSecond = if (second.upstream == keyOf(u)) u else v
+            saysLeaving(upstreamOfSecond)
+
+            val lost =
+                GatewayEvent.AttemptLost(first.requestId, 1, AttemptFailure.CONNECTION_LOST)
+            val effects = emit(lost)
+            emit(GatewayEvent.AnswerEnded(second.requestId, 1, status = 200))
+            now += 100.milliseconds
+            val later = emit(GatewayEvent.Tick)
+            val sends = (effects + later).filterIsInstance<GatewayEffect.Send>()
+            assertTrue(sends.none { it.upstream == second.upstream }, "$sends")
+        }
+
+        @Test
+        fun `is not given the request for which a connection was made meanwhile`() {
+            serve(u, v)
+            val send = sent("1")
+            assertTrue(state.isWilling(send.upstream, now))
+            saysLeaving(if (send.upstream == keyOf(u)) u else v)
+            assertFalse(state.isWilling(send.upstream, now))
+
+            val failure = ConnectFailure.UNWANTED
+            val next = emit(GatewayEvent.ConnectFailed(send.requestId, send.attempt, failure))
+            assertTrue(assertIs<GatewayEffect.Send>(next.single()).upstream != send.upstream)
+        }
+
+        @Test
+        fun `is known from other entries, also before it is listed`() {
+            serve(v)
+            emit(
+                GatewayEvent.PeersReported(
+                    entryCount = 2,
+                    inFlight = persistentMapOf(),
+                    leaving = persistentSetOf(keyOf(u))
+                )
+            )
+            list(u, v)
+            repeat(8) { assertEquals(keyOf(v), sent("$it").upstream) }
+        }
+
+        @Test
+        fun `is remembered in bounded memory`() {
+            serve(u)
+            repeat(2_000) { saysLeaving(listedUpstream("x$it", incarnation = it.toLong())) }
+            assertEquals(1_024, state.notices.size)
+        }
+    }
+
+    @Nested
+    inner class AnUpstreamThatAskedForAPause {
+        @Test
+        fun `gets nothing before the end of the pause`() {
+            serve(u, v)
+            asksForPause(u, 1.5.seconds)
+            repeat(14) {
+                assertEquals(keyOf(v), sent("$it").upstream)
+                now += 100.milliseconds
+                emit(GatewayEvent.AnswerEnded(RequestId("$it"), 1, status = 200))
+            }
+            now += 100.milliseconds
+            val upstreams = (0 until 8).map { sent("later$it").upstream }
+            assertTrue(keyOf(u) in upstreams)
+        }
+
+        @Test
+        fun `keeps to the latest end that it named`() {
+            serve(u)
+            asksForPause(u, 3.seconds)
+            now += 1.seconds
+            asksForPause(u, 0.5.seconds)
+            now += 1.seconds
+            assertEquals(GatewayRefusal.UPSTREAMS_PAUSED, refused("1").reason)
+            now += 1.seconds
+            sent("2")
+        }
+
+        @Test
+        fun `gets no repeat of the request that it turned away`() {
+            serve(u)
+            val send = sent("1")
+            asksForPause(u, 2.seconds)
+            val refusal = assertIs<GatewayEffect.Refuse>(notRun(send).single())
+            assertEquals(503, refusal.status)
+            assertTrue(assertNotNull(refusal.retryAfter) >= 2.seconds)
+        }
+
+        @Test
+        fun `for longer than any process lives is left alone`() {
+            serve(u)
+            asksForPause(u, 3650.days)
+            now += 1.days
+            assertEquals(GatewayRefusal.UPSTREAMS_PAUSED, refused("1").reason)
+        }
+
+        @Test
+        fun `is left alone after its row lapsed and came back`() {
+            serve(u, v)
+            asksForPause(u, 3.seconds)
+            list(v)
+            now += 2.seconds
+            list(u, v)
+            repeat(8) { assertEquals(keyOf(v), sent("$it").upstream) }
+        }
+
+        @Test
+        fun `is in use at once as another process under its name`() {
+            serve(u)
+            asksForPause(u, 30.seconds)
+            list(listedUpstream("u", incarnation = 2))
+            sent("1")
+        }
+    }
+
+    /** Load pattern: a service sheds load as a whole, and its callers wait and keep coming. */
+    @Nested
+    inner class AServiceWhoseUpstreamsAllAskForAPause {
+        private fun pauseAll() {
+            asksForPause(u, 4.seconds)
+            asksForPause(v, 2.seconds)
+        }
+
+        @Test
+        fun `refuses at once, and sends callers back when the first of them is willing`() {
+            serve(u, v)
+            pauseAll()
+            val pauses = (1..20).map { assertNotNull(refused("$it").retryAfter) }
+            assertTrue(pauses.all { it in 2.seconds..3.seconds }, "$pauses")
+            assertTrue(pauses.max() - pauses.min() > 300.milliseconds, "$pauses")
+        }
+
+        @Test
+        fun `refuses what waits already`() {
+            serve(listedUpstream("u", slots = 1), listedUpstream("v", slots = 1))
+            sent("1")
+            sent("2")
+            assertEquals(emptyList(), emit(arrival("3", RequestKind.SAFE, now)))
+            asksForPause(u, 4.seconds)
+            val refusal = assertIs<GatewayEffect.Refuse>(asksForPause(v, 2.seconds).single())
+            assertEquals(RequestId("3"), refusal.requestId)
+            assertTrue(assertNotNull(refusal.retryAfter) >= 2.seconds)
+        }
+
+        @Test
+        fun `lets callers wait for a pause that ends in time`() {
+            serve(u, v)
+            asksForPause(u, 200.milliseconds)
+            asksForPause(v, 200.milliseconds)
+            assertEquals(emptyList(), emit(arrival("1", RequestKind.SAFE, now)))
+            now += 210.milliseconds
+            assertIs<GatewayEffect.Send>(emit(GatewayEvent.Tick).single())
+        }
+    }
+}
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
@@ -34,6 +34,7 @@
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.http.HttpClient
 import org.shallotplank.gateway.peer.KnownCrash
+import org.shallotplank.gateway.peer.LeavingUpstream
 import org.shallotplank.gateway.peer.PeerReport
 import org.shallotplank.gateway.peer.PeerRow
 import org.shallotplank.gateway.peer.PeerView
@@ -211,7 +212,10 @@
         tableVersions = followers.mapValues { (_, follower) -> follower.replica.version },
         inFlight = exchanges.state.inFlight
             .map { (key, count) -> UpstreamInFlight(key.id.value, key.incarnation, count) },
-        crashes = crashes.keys.toList()
+        crashes = crashes.keys.toList(),
+        leaving = exchanges.state.upstreams.values
+            .filter { it.notice.isLeaving }
+            .map { LeavingUpstream(it.record.id.value, it.record.incarnation) }
     )
 
     /** The copy of [table], or null before there is one. */
@@ -277,7 +281,10 @@
                 entryCount = entries.size,
                 inFlight = inFlight.toPersistentMap(),
                 entries = entries.toPersistentSet(),
-                serving = servingPeers().map { InstanceId(it.instance) }.toPersistentSet()
+                serving = servingPeers().map { InstanceId(it.instance) }.toPersistentSet(),
+                leaving = reports.flatMap { it.leaving }
+                    .map { UpstreamKey(InstanceId(it.id), it.incarnation) }
+                    .toPersistentSet()
             )
         )
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -12,11 +12,13 @@
 import org.shallotplank.core.RequestId
 import org.shallotplank.core.ServiceName
 import org.shallotplank.core.gateway.CallerLimits
+import org.shallotplank.core.gateway.ConnectFailure
 import org.shallotplank.core.gateway.GatewayEffect
 import org.shallotplank.core.gateway.GatewayEvent
 import org.shallotplank.core.gateway.GatewayRequest
 import org.shallotplank.core.gateway.GatewayState
 import org.shallotplank.core.gateway.UpstreamKey
+import org.shallotplank.core.gateway.isWilling
 import org.shallotplank.core.gateway.on
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
@@ -28,6 +30,7 @@
 import org.shallotplank.gateway.caller.CallerServer
 import org.shallotplank.gateway.upstream.AttemptContext
 import org.shallotplank.gateway.upstream.UpstreamAttempt
+import org.shallotplank.gateway.upstream.UpstreamConnection
 import org.shallotplank.gateway.upstream.UpstreamPool
 import org.shallotplank.gateway.upstream.UpstreamTarget
 import org.shallotplank.gateway.upstream.forwardedRequest
@@ -222,7 +225,7 @@
                 },
                 ifRight = { connection ->
                     if (attempt.isRunning) {
-                        attempt.start(connection, forwardedRequest(exchange, send, headers))
+                        start(attempt, connection, send)
                     } else {
                         pool.release(target, connection)
                     }
@@ -231,6 +234,24 @@
         }
     }
 
+    /** Sends the request, unless its upstream asked for no more while the connection was made. */
+    private fun start(
+        attempt: UpstreamAttempt,
+        connection: UpstreamConnection,
+        send: GatewayEffect.Send
+    ) {
+        val exchange = open[send.requestId]
+        if (exchange != null && state.isWilling(send.upstream, clock.now())) {
+            attempt.start(connection, forwardedRequest(exchange, send, headers))
+            return
+        }
+        attempt.cancel()
+        pool.release(UpstreamTarget(send.upstream, send.address), connection)
+        emit(
+            GatewayEvent.ConnectFailed(send.requestId, send.attempt, ConnectFailure.UNWANTED)
+        )
+    }
+
     private fun withdraw(withdraw: GatewayEffect.Withdraw) {
         open[withdraw.requestId]?.attempt
             ?.takeIf { it.attemptNumber == withdraw.attempt }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/HeaderNames.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/HeaderNames.kt
@@ -11,6 +11,8 @@
  * @property requestPriority rank of the request at an engine.
  * @property notRun present on answers of upstreams that did not run the request.
  * @property engineLoad running requests, waiting requests and slots of the answering engine.
+ * @property leaving "1" on answers of an upstream that takes no further requests.
+ * @property pauseSeconds seconds for which an upstream that answers 503 wants no requests.
  * @property signature present on each answer that an upstream made.
  * @property lastEventId id of the last event that the caller has of a stream.
  */
@@ -23,6 +25,8 @@
     val requestPriority: String,
     val notRun: String,
     val engineLoad: String,
+    val leaving: String,
+    val pauseSeconds: String,
     val signature: String,
     val lastEventId: String
 )
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerReport.kt
@@ -10,6 +10,7 @@
  * @property tableVersions how far its copies of the store's tables go.
  * @property inFlight its attempts that have not ended, by upstream.
  * @property crashes lost attempts of requests that crashed upstreams lately.
+ * @property leaving upstreams that said in an answer that they leave, and that are still listed.
  */
 @Serializable
 internal class PeerReport(
@@ -21,13 +22,18 @@
     val isStopping: Boolean,
     val tableVersions: Map<String, Long>,
     val inFlight: List<UpstreamInFlight>,
-    val crashes: List<KnownCrash>
+    val crashes: List<KnownCrash>,
+    val leaving: List<LeavingUpstream> = emptyList()
 )
 
 /** Attempts that have not ended at one incarnation of an upstream. */
 @Serializable
 internal class UpstreamInFlight(val id: String, val incarnation: Long, val count: Int)
 
+/** One incarnation of an upstream that takes no further requests. */
+@Serializable
+internal data class LeavingUpstream(val id: String, val incarnation: Long)
+
 /** A crash that [attempt] of a request was running in. */
 @Serializable
 internal data class KnownCrash(val customer: String, val bodySha256: String, val attempt: String)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -108,6 +108,7 @@
     }
 
     private fun onHead(response: HttpResponse) {
+        noticeOf(response, target.key, context.headers)?.let(context.emit)
         val isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (isInterim || isAnotherRequests(response)) {
             isSkipping = true
@@ -328,7 +329,6 @@
 
     private companion object {
         const val OK = 200
-        const val MISDIRECTED = 421
         const val LOAD_NUMBERS = 3
 
         /** Longest answer that is held back; longer ones are passed on as they come. */
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
@@ -24,6 +24,7 @@
 import org.shallotplank.core.gateway.CallerLimits
 import org.shallotplank.core.gateway.CredentialHolder
 import org.shallotplank.core.gateway.GatewayEvent
+import org.shallotplank.core.gateway.GatewayState
 import org.shallotplank.core.gateway.ListedUpstream
 import org.shallotplank.core.gateway.RequestKind
 import org.shallotplank.core.gateway.Route
@@ -42,6 +43,8 @@
     requestPriority = "X-Priority",
     notRun = "X-Not-Run",
     engineLoad = "X-Load",
+    leaving = "X-Leaving",
+    pauseSeconds = "Retry-After",
     signature = "X-Stamp",
     lastEventId = "Last-Event-Id"
 )
@@ -94,6 +97,9 @@
 
     fun emit(event: GatewayEvent): Unit = loop.submit { exchanges.emit(event) }.sync().let { }
 
+    /** The reducer's state after the events so far. */
+    val state: GatewayState get() = loop.submit<GatewayState> { exchanges.state }.get()
+
     fun connect(): Socket = Socket(address.host, address.port).apply { soTimeout = 8_000 }
 
     /** Sends [request] on a connection of its own and returns everything until it closes. */
--- /dev/null
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/UpstreamNoticesTest.kt
@@ -0,0 +1,185 @@
+package org.shallotplank.gateway
+
+import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.junit.jupiter.api.Nested
+import org.shallotplank.gateway.upstream.pauseOrNull
+
+/** Upstreams that say in their answers that they leave or want a pause, over the network. */
+class UpstreamNoticesTest {
+    private val open = mutableListOf<AutoCloseable>()
+
+    @AfterTest
+    fun closeAll(): Unit = open.forEach { it.close() }
+
+    private fun upstream(respond: (ReadRequest, Socket, Int) -> Unit) =
+        ScriptedUpstream(respond).also { open += it }
+
+    private fun answering(extra: String = "") =
+        upstream { request, socket, _ -> socket.send(answer(request, extra = extra)) }
+
+    private fun gateway(vararg upstreams: ScriptedUpstream) =
+        GatewayFixture(upstreams.toList()).also { open += it }
+
+    /** The first answer of [leaving] is its last request; the others go to a sound upstream. */
+    private fun assertLeftAlone(leaving: ScriptedUpstream, kind: String = "safe") {
+        val sound = answering()
+        val gateway = gateway(leaving, sound)
+        while (leaving.requests.isEmpty()) gateway.exchange(request(kind))
+        val seen = leaving.requests.size
+        val before = sound.requests.size
+        repeat(MORE_REQUESTS) { gateway.exchange(request(kind, attempt = "more$it")) }
+        assertEquals(seen, leaving.requests.size)
+        assertTrue(sound.requests.size >= before + MORE_REQUESTS)
+    }
+
+    @Nested
+    inner class AnUpstreamThatLeaves {
+        @Test
+        fun `says so with a whole answer`() =
+            assertLeftAlone(answering("X-Leaving: 1\r\nKeep-Alive: timeout=9\r\n"))
+
+        @Test
+        fun `says so with a refusal`() = assertLeftAlone(
+            upstream { request, socket, _ ->
+                val extra = "X-Not-Run: 1\r\nX-Leaving: 1\r\n"
+                socket.send(answer(request, status = "503 Full", extra = extra))
+            }
+        )
+
+        @Test
+        fun `says so with the head of a stream`() = assertLeftAlone(
+            upstream { request, socket, _ ->
+                val head = streamHead(request).replace("X-Stamp", "X-Leaving: 1\r\nX-Stamp")
+                socket.send(head + chunk("id: 1\ndata: a\n\n") + LAST_CHUNK)
+            },
+            kind = "stream"
+        )
+
+        @Test
+        fun `says so with an answer that is thrown away as another request's`() = assertLeftAlone(
+            upstream { request, socket, _ ->
+                val other = answer(request, extra = "X-Leaving: 1\r\n")
+                    .replace("X-Attempt: ${request.header("X-Attempt")}", "X-Attempt: other")
+                socket.send(other + answer(request))
+            }
+        )
+
+        @Test
+        fun `says so with an answer that is thrown away as spoilt`() = assertLeftAlone(
+            upstream { request, socket, _ ->
+                socket.send(answer(request, extra = "Content-Encoding: br\r\nX-Leaving: 1\r\n"))
+            }
+        )
+
+        @Test
+        fun `is not the one that was meant when another process answers at its address`() {
+            val other = upstream { request, socket, number ->
+                if (number == 1) {
+                    val extra = "X-Leaving: 1\r\n"
+                    socket.send(answer(request, status = "421 Misdirected", extra = extra))
+                } else {
+                    socket.send(answer(request))
+                }
+            }
+            val gateway = gateway(other)
+            gateway.exchange(request("safe"))
+            assertTrue(gateway.state.notices.isEmpty())
+        }
+    }
+
+    @Nested
+    inner class AnUpstreamThatWantsAPause {
+        private fun shedding(pause: String) = upstream { request, socket, _ ->
+            val extra = "X-Not-Run: 1\r\nRetry-After: $pause\r\n"
+            socket.send(answer(request, status = "503 Full", extra = extra))
+        }
+
+        @Test
+        fun `gets no request in it, and callers are told when it ends`() {
+            val shedding = shedding("1.5")
+            val gateway = gateway(shedding)
+            val replies = (1..MORE_REQUESTS).map { gateway.exchange(request("safe")) }
+            assertEquals(1, shedding.requests.size)
+            for (reply in replies) {
+                assertTrue(reply.startsWith("HTTP/1.1 503"), reply)
+                val seconds = Regex("retry-after: ([0-9.]+)", RegexOption.IGNORE_CASE)
+                    .find(reply)!!.groupValues[1].toDouble()
+                assertTrue(seconds in 1.0..2.5, reply)
+            }
+        }
+
+        @Test
+        fun `gets none of the requests that came together beyond those on their way`() {
+            val held = CompletableFuture<Unit>()
+            val shedding = upstream { request, socket, _ ->
+                held.get(5, TimeUnit.SECONDS)
+                val extra = "X-Not-Run: 1\r\nRetry-After: 3\r\n"
+                socket.send(answer(request, status = "503 Full", extra = extra))
+            }
+            val gateway = gateway(shedding)
+            val replies = (1..20).map {
+                CompletableFuture.supplyAsync {
+                    gateway.exchange(request("safe", attempt = "c$it"))
+                }
+            }
+            Thread.sleep(300)
+            held.complete(Unit)
+            replies.forEach { assertContains(it.get(5, TimeUnit.SECONDS), "503") }
+            val reached = shedding.requests.size
+            repeat(MORE_REQUESTS) { gateway.exchange(request("safe", attempt = "m$it")) }
+            assertEquals(reached, shedding.requests.size)
+        }
+
+        @Test
+        fun `of no length goes on to be used`() {
+            for (pause in listOf("0", "-3", "soon", "", "NaN")) {
+                val shedding = shedding(pause)
+                val gateway = gateway(shedding)
+                repeat(3) {
+                    gateway.exchange(request("safe", attempt = "p$it"))
+                    Thread.sleep(150)
+                }
+                assertTrue(shedding.requests.size >= 3, "'$pause': ${shedding.requests.size}")
+            }
+        }
+
+        @Test
+        fun `says nothing with another status than 503`() {
+            val busy = upstream { request, socket, _ ->
+                socket.send(answer(request, status = "429 Busy", extra = "Retry-After: 60\r\n"))
+            }
+            val gateway = gateway(busy)
+            repeat(3) { gateway.exchange(request("unsafe", attempt = "p$it")) }
+            assertEquals(3, busy.requests.size)
+        }
+    }
+
+    @Nested
+    inner class Pauses {
+        @Test
+        fun `are positive numbers of seconds, and bounded`() {
+            assertEquals(250.milliseconds, pauseOrNull("0.25"))
+            assertEquals(2.seconds, pauseOrNull(" 2 "))
+            assertEquals(3650.days, pauseOrNull("1e300"))
+            assertEquals(3650.days, pauseOrNull("Infinity"))
+            for (value in listOf("", "-1", "0", "NaN", "Fri, 04 Dec 2026 12:00:00 GMT", "1 s")) {
+                assertNull(pauseOrNull(value), value)
+            }
+        }
+    }
+
+    private companion object {
+        const val MORE_REQUESTS = 8
+    }
+}
