Let a keeper that stops be followed at once where ranks check no fences

Ruled out: the store (stable), the ranks (they answered). Change: an entry that stops tells in its reports which groups it has kept and never will again, once its keeper has ended and its last orders are answered or given up; the follower begins then. One that only claimed the lease says nothing, since an earlier holder may still act. What is known of a predecessor stays known. A keeper that has ended takes no further answers: counts that were on their way could make it plan and order beside its follower. The entry's row stays until it takes no more requests, as it counts in shared bounds till then. KeeperHandOverTest: 6 cases.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
@@ -166,8 +166,12 @@
         log = log
     )
 
-    /** A later process of the same instance shows that this one has ended. */
-    private fun hasEnded(candidate: KeeperCandidate): Boolean {
+    /** A later process of the same instance shows that this one has ended, as it may say itself. */
+    private fun hasEnded(candidate: KeeperCandidate, group: String): Boolean {
+        val hasLeft = peers.alive.mapNotNull { it.report }.any {
+            KeeperCandidate(it.instance, it.incarnation) == candidate && group in it.groupsLeft
+        }
+        if (hasLeft) return true
         val registered = entryReplica().row(Registration.keyOf(candidate.instance))
             ?.let { decodeRow(it.value)?.incarnation }
         val heard = peers.alive.mapNotNull { it.report }
@@ -215,7 +219,8 @@
         crashes = crashes.keys.toList(),
         leaving = exchanges.state.upstreams.values
             .filter { it.notice.isLeaving }
-            .map { LeavingUpstream(it.record.id.value, it.record.incarnation) }
+            .map { LeavingUpstream(it.record.id.value, it.record.incarnation) },
+        groupsLeft = keepers.leftForGood
     )
 
     /** The copy of [table], or null before there is one. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
@@ -136,8 +136,9 @@
         val startedAt = clock.now()
         log(logRecord(LogEvent.PROCESS_DRAINING, "open_requests" to exchanges.openCount))
         exchanges.emit(GatewayEvent.StopRequested)
-        scope.launch { beliefs.unregister() }
+        // It still takes requests and may finish a change of a group, so that it counts till then.
         delay(LINGER.coerceAtMost(settings.stopGrace / 2))
+        scope.launch { beliefs.unregister() }
         exchanges.closeIdle()
         val end = startedAt + settings.stopGrace - EXIT_MARGIN
         while (exchanges.openCount > 0 && clock.now() < end) {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -29,8 +29,8 @@
     val state: () -> GatewayState,
     val table: String,
     val replica: () -> TableReplica,
-    /** Whether a later process of the candidate's instance is known, so that it has ended. */
-    val hasEnded: (KeeperCandidate) -> Boolean,
+    /** Whether the candidate is known never to act for the group again. */
+    val hasEnded: (KeeperCandidate, group: String) -> Boolean,
     val guard: LeaseGuard,
     val clock: Clock,
     val log: (LogRecord) -> Unit
@@ -50,6 +50,9 @@
     private val scope: CoroutineScope
 ) {
     private val running = HashMap<String, RunningKeeper>()
+
+    /** When this process last ceased to keep a group. */
+    private val endedAt = HashMap<String, Instant>()
     private val claimedAt = HashMap<String, Instant>()
     private val holdings = HashMap<String, Holding>()
     private val predecessors = HashMap<String, KeeperCandidate?>()
@@ -58,6 +61,19 @@
     /** Entries that served at the last check. */
     private var serving: Collection<KeeperCandidate> = emptyList()
 
+    /**
+     * Groups that this process has kept and never will again, since it stops.
+     *
+     * One whose lease it holds without having begun is not among them: an earlier holder may still
+     * act for that.
+     */
+    val leftForGood: List<String>
+        get() {
+            if (!around.state().isStopping) return emptyList()
+            val before = around.clock.now() - ORDERS_UNDER_WAY
+            return endedAt.filter { (name, at) -> name !in running && at <= before }.keys.toList()
+        }
+
     /** Follows the time and the list of upstreams. */
     fun tick(now: Instant) {
         running.values.forEach { it.tick(now) }
@@ -112,13 +128,19 @@
 
     private fun mayKeep(name: String): Boolean {
         val holding = holdings[name] ?: return around.guard.areFencesChecked
-        val isPredecessorGone = holding.predecessor?.let(around.hasEnded) ?: true
-        return around.guard.mayAct() && around.guard.mayBegin(holding.seenAt, isPredecessorGone)
+        if (!around.guard.mayAct()) return false
+        if (!holding.isPredecessorOver) {
+            val isKnownGone = holding.predecessor?.let { around.hasEnded(it, name) } ?: true
+            holding.isPredecessorOver = around.guard.mayBegin(holding.seenAt, isKnownGone)
+        }
+        return holding.isPredecessorOver
     }
 
     /** Another entry may act for the group already; even a change that is under way ends here. */
     private fun abandon(name: String) {
         val keeper = running.remove(name) ?: return
+        keeper.end()
+        endedAt[name] = around.clock.now()
         logKeeping(name, keeper.leaseFence, isKept = false)
     }
 
@@ -126,8 +148,7 @@
     private fun leave(name: String) {
         val keeper = running[name] ?: return
         if (keeper.isChanging) return
-        running.remove(name)
-        logKeeping(name, keeper.leaseFence, isKept = false)
+        abandon(name)
     }
 
     private fun logKeeping(name: String, fence: Long, isKept: Boolean) = around.log(
@@ -195,6 +216,7 @@
             if (present.continueUnder(fence)) return logKeeping(name, fence, isKept = true)
         }
         logKeeping(name, fence, isKept = true)
+        present?.end()
         val keeper = GroupKeeper(
             group = name,
             fence = fence,
@@ -247,7 +269,10 @@
     }
 
     /** A lease that this entry holds, and the one that held it before, if any is known. */
-    private class Holding(val term: Long, val seenAt: Instant, val predecessor: KeeperCandidate?)
+    private class Holding(val term: Long, val seenAt: Instant, val predecessor: KeeperCandidate?) {
+        /** Stays so once it was known, since what told it may not be heard of again. */
+        var isPredecessorOver: Boolean = false
+    }
 
     private class KnownGroup(val ranks: Map<Int, RankAddress>, val placement: PlacementProfile)
 
@@ -256,6 +281,9 @@
         const val KEY_PREFIX = "group/"
         private val CHECK_INTERVAL = 200.milliseconds
 
+        /** An order is answered or given up within 320 ms. */
+        private val ORDERS_UNDER_WAY = 400.milliseconds
+
         /** Time for a claim to show in the copy of the table; calls to the store are priced. */
         private val CLAIM_INTERVAL = 1.seconds
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
@@ -30,6 +30,8 @@
     var leaseFence: Long = initial.fence
         private set
 
+    private var isEnded = false
+
     /** Whether the map is known and no change of it is under way. */
     val isSettled: Boolean get() = state.stage is KeeperStage.Settled && !state.isFenced
 
@@ -52,12 +54,18 @@
         return true
     }
 
+    /** Ends it; answers that are on their way lead to no further order. */
+    fun end() {
+        isEnded = true
+    }
+
     /** Follows the time. */
     fun tick(now: Instant) {
         reduce(GroupKeeperEvent.Tick, now)
     }
 
     private fun reduce(event: GroupKeeperEvent, now: Instant = clock.now()) {
+        if (isEnded) return
         val step = state.on(event, now)
         state = step.state
         step.effects.forEach(::perform)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerReport.kt
@@ -11,6 +11,7 @@
  * @property inFlight its attempts that have not ended, by upstream.
  * @property crashes lost attempts of requests that crashed upstreams lately.
  * @property leaving upstreams that said in an answer that they leave, and that are still listed.
+ * @property groupsLeft rank groups that it has kept and never will again.
  */
 @Serializable
 internal class PeerReport(
@@ -23,7 +24,8 @@
     val tableVersions: Map<String, Long>,
     val inFlight: List<UpstreamInFlight>,
     val crashes: List<KnownCrash>,
-    val leaving: List<LeavingUpstream> = emptyList()
+    val leaving: List<LeavingUpstream> = emptyList(),
+    val groupsLeft: List<String> = emptyList()
 )
 
 /** Attempts that have not ended at one incarnation of an upstream. */
--- /dev/null
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -0,0 +1,306 @@
+package org.shallotplank.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import org.junit.jupiter.api.Nested
+import org.shallotplank.core.Address
+import org.shallotplank.core.ConfigurationVersion
+import org.shallotplank.core.InstanceId
+import org.shallotplank.core.ServiceName
+import org.shallotplank.core.ZoneName
+import org.shallotplank.core.expertmap.OrderOutcome
+import org.shallotplank.core.expertmap.RankOrder
+import org.shallotplank.core.expertmap.RankReport
+import org.shallotplank.core.gateway.EngineProfile
+import org.shallotplank.core.gateway.GatewaySettings
+import org.shallotplank.core.gateway.GatewayState
+import org.shallotplank.core.gateway.GatewayUpstream
+import org.shallotplank.core.gateway.GroupMembership
+import org.shallotplank.core.gateway.PlacementProfile
+import org.shallotplank.core.gateway.RouteTable
+import org.shallotplank.core.gateway.UpstreamRecord
+import org.shallotplank.core.gateway.UpstreamService
+import org.shallotplank.gateway.group.GroupKeepers
+import org.shallotplank.gateway.group.KeeperCandidate
+import org.shallotplank.gateway.group.KeeperSurroundings
+import org.shallotplank.gateway.group.LeaseGuard
+import org.shallotplank.gateway.group.RankAddress
+import org.shallotplank.gateway.group.RankCounts
+import org.shallotplank.gateway.group.RankExperts
+import org.shallotplank.gateway.group.RankPort
+import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.StoreFailure
+import org.shallotplank.gateway.store.StoreRow
+import org.shallotplank.gateway.store.TableChanges
+import org.shallotplank.gateway.store.TableContents
+import org.shallotplank.gateway.store.TableReplica
+
+/** Load pattern: entries stop one after the other, while demand moves and ranks check no fences. */
+class KeeperHandOverTest {
+    private var now = Instant.fromEpochMilliseconds(1_000_000)
+    private val clock = object : Clock {
+        override fun now(): Instant = now
+    }
+    private val store = OneTable()
+    private val entries = listOf("e1", "e2", "e3").map { Entry(KeeperCandidate(it, 1)) }
+
+    private fun pass(time: Duration) {
+        repeat((time / TICK).toInt()) {
+            now += TICK
+            entries.filter { it.isRunning }.forEach { it.keepers.tick(now) }
+        }
+    }
+
+    private fun keeper(): Entry? = entries.filter { it.isAsking(now) }.also {
+        assertTrue(it.size <= 1, "${it.map { entry -> entry.own }} act at once")
+    }.singleOrNull()
+
+    @Nested
+    inner class AKeeperThatStops {
+        @Test
+        fun `is followed within a second`() {
+            pass(3.seconds)
+            val first = checkNotNull(keeper())
+            first.stop()
+            pass(1.seconds)
+            assertTrue(keeper() != null && keeper() != first, "kept by ${keeper()?.own}")
+        }
+
+        @Test
+        fun `is followed for good, also once nothing is heard of it any more`() {
+            pass(3.seconds)
+            val first = checkNotNull(keeper())
+            first.stop()
+            pass(1.seconds)
+            first.isRunning = false
+            first.isHeard = false
+            repeat(8) {
+                pass(500.milliseconds)
+                assertTrue(keeper() != null)
+            }
+        }
+
+        @Test
+        fun `is followed within a second also when its follower stops at once`() {
+            pass(3.seconds)
+            checkNotNull(keeper()).stop()
+            pass(1.seconds)
+            checkNotNull(keeper()).stop()
+            pass(1.seconds)
+            assertTrue(keeper()?.isStopping == false)
+        }
+
+        @Test
+        fun `asks and orders nothing more, whatever answers are on their way`() {
+            pass(3.seconds)
+            val first = checkNotNull(keeper())
+            val held = CompletableDeferred<Unit>()
+            first.port.gate = held
+            pass(300.milliseconds)
+            first.stop()
+            pass(300.milliseconds)
+            val calls = first.port.calls
+            held.complete(Unit)
+            assertEquals(calls, first.port.calls)
+        }
+    }
+
+    @Nested
+    inner class AKeeperThatIsOnlySilent {
+        @Test
+        fun `is followed after all its orders are over, not before`() {
+            pass(3.seconds)
+            val first = checkNotNull(keeper())
+            first.isHeard = false
+            pass(4.seconds)
+            assertTrue(entries.none { it != first && it.isAsking(now) })
+            first.isRunning = false
+            pass(3.seconds)
+            assertTrue(keeper() != null && keeper() != first)
+        }
+
+        @Test
+        fun `is waited for also when the one that claimed its lease stops`() {
+            pass(3.seconds)
+            val first = checkNotNull(keeper())
+            first.isHeard = false
+            pass(1.seconds)
+            entries.single { store.holder()?.contains(it.own.instance) == true }.stop()
+            pass(2.seconds)
+            assertTrue(entries.none { it != first && it.isAsking(now) })
+        }
+    }
+
+    private inner class Entry(val own: KeeperCandidate) {
+        var isRunning = true
+        var isStopping = false
+        var isHeard = true
+        val port = CountingPort()
+        val keepers = GroupKeepers(
+            around = KeeperSurroundings(
+                own = own,
+                candidates = ::candidates,
+                state = { state.copy(isStopping = isStopping) },
+                table = "t",
+                replica = { store.replica },
+                hasEnded = { candidate, group ->
+                    entries.any { it.own == candidate && it.isHeard && it.hasLeft(group) }
+                },
+                guard = LeaseGuard(
+                    areFencesChecked = false,
+                    clock = clock,
+                    wallClock = clock,
+                    confirmedAt = { now }
+                ),
+                clock = clock,
+                log = {}
+            ),
+            store = store,
+            port = port,
+            scope = CoroutineScope(Dispatchers.Unconfined)
+        )
+
+        fun stop() {
+            isStopping = true
+        }
+
+        fun hasLeft(group: String): Boolean = group in keepers.leftForGood
+
+        fun isAsking(now: Instant): Boolean = now - port.askedAt < 250.milliseconds
+
+        private fun candidates(): List<KeeperCandidate> = entries
+            .filter { it.isRunning && !it.isStopping && (it.isHeard || it.own == own) }
+            .map { it.own }
+    }
+
+    private inner class CountingPort : RankPort {
+        var calls = 0
+        var askedAt = Instant.DISTANT_PAST
+        var gate = CompletableDeferred(Unit)
+
+        private suspend fun note() {
+            calls++
+            askedAt = now
+            gate.await()
+        }
+
+        override suspend fun report(rank: RankAddress): RankReport {
+            note()
+            return RankReport(epoch = 1, isOpen = true, step = 5, mapVersion = 0, isFresh = true)
+        }
+
+        override suspend fun counts(rank: RankAddress): RankCounts {
+            note()
+            return RankCounts(1, 5, persistentListOf(1, 1, 1, 1))
+        }
+
+        override suspend fun experts(rank: RankAddress): RankExperts? = null
+
+        override suspend fun give(
+            rank: RankAddress,
+            order: RankOrder,
+            epoch: Long,
+            fence: Long
+        ): OrderOutcome {
+            note()
+            return OrderOutcome.DONE
+        }
+
+        override fun keepOnly(ranks: Set<RankAddress>) = Unit
+    }
+
+    private class OneTable : MetadataStore {
+        val replica = TableReplica().apply { replace(TableContents(emptyList(), 0)) }
+
+        fun holder(): String? = replica.rows.singleOrNull()?.value
+
+        override suspend fun read(table: String): Either<StoreFailure, TableContents> =
+            StoreFailure.HistoryGone.left()
+
+        override suspend fun changes(
+            table: String,
+            since: Long,
+            wait: Duration
+        ): Either<StoreFailure, TableChanges> = StoreFailure.HistoryGone.left()
+
+        override suspend fun write(
+            table: String,
+            key: String,
+            value: String,
+            expected: Long
+        ): Either<StoreFailure, Unit> {
+            if ((replica.row(key)?.version ?: 0) != expected) return StoreFailure.Conflict.left()
+            val next = replica.version + 1
+            replica.apply(TableChanges(listOf(StoreRow(key, value, next)), emptyList(), next))
+            return Unit.right()
+        }
+
+        override suspend fun delete(
+            table: String,
+            key: String,
+            expected: Long
+        ): Either<StoreFailure, Unit> = StoreFailure.HistoryGone.left()
+    }
+
+    private companion object {
+        val TICK = 50.milliseconds
+        val service = ServiceName("s")
+        val placement = PlacementProfile(
+            layers = 1,
+            expertsPerLayer = 4,
+            slotsPerRank = 3,
+            spareSlots = 1,
+            expertCopyTime = 10.milliseconds
+        )
+        val upstreams = (0 until 2).map { rank ->
+            GatewayUpstream(
+                UpstreamRecord(
+                    id = InstanceId("r$rank"),
+                    incarnation = 1,
+                    service = service,
+                    address = Address("10.0.0.$rank", 80),
+                    zone = ZoneName("a"),
+                    slots = 4,
+                    isLeaving = false,
+                    group = GroupMembership("g", rank, size = 2)
+                )
+            )
+        }
+        val state = GatewayState(
+            settings = GatewaySettings(
+                instance = InstanceId("e"),
+                zone = ZoneName("a"),
+                retryRatio = 0.2,
+                retryWindow = 10.seconds,
+                retrySlack = 10
+            ),
+            routes = RouteTable(
+                version = ConfigurationVersion(1),
+                routes = persistentListOf(),
+                services = persistentMapOf(
+                    service to UpstreamService(
+                        service,
+                        maxConnections = 5,
+                        engine = EngineProfile(1, 1.milliseconds, placement)
+                    )
+                )
+            ),
+            upstreams = upstreams.associateBy { it.key }.toPersistentMap()
+        )
+    }
+}
