Ask twice in the test of an ended keeper, since the first reports only tell the epoch

Cause: with the mechanism taken out the test still passed: a keeper that learns the epoch begins its survey anew and asks nothing at once. No change of the code.

--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -114,14 +114,13 @@
     inner class AKeeperThatHasEnded {
         @Test
         fun `asks and orders nothing more, whatever answers are on their way`() {
-            val port = CountingPort().apply {
-                mapVersion = 7
-                gate = CompletableDeferred()
-            }
+            val port = CountingPort().apply { mapVersion = 7 }
             val keeper = running(port)
             keeper.tick(now)
+            now += 200.milliseconds
+            port.gate = CompletableDeferred()
+            keeper.tick(now)
             val calls = port.calls
-            assertTrue(calls > 0)
 
             keeper.end()
             port.gate.complete(Unit)
