Confirm leases through other entries while the store does not answer their holder

Ruled out: a hand-over (the holder is sound, and knows the map and the demand). Change: entries tell each other which term of each lease they saw last and how long ago the store told them. A holder is confirmed by the store, by any entry that the store told of the same term, and, while the store tells nobody, by all other registered entries together: a successor begins five seconds after it has seen its own row, and none of them had. An entry that was suspended tells no age, since its steady clock did not count it.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
@@ -31,7 +31,9 @@
 import org.shallotplank.gateway.group.KeeperCandidate
 import org.shallotplank.gateway.group.KeeperSurroundings
 import org.shallotplank.gateway.group.LeaseGuard
+import org.shallotplank.gateway.group.LeaseWitness
 import org.shallotplank.gateway.group.RankPort
+import org.shallotplank.gateway.group.confirmedAt
 import org.shallotplank.gateway.http.HttpClient
 import org.shallotplank.gateway.peer.KnownCrash
 import org.shallotplank.gateway.peer.LeavingUpstream
@@ -40,6 +42,7 @@
 import org.shallotplank.gateway.peer.PeerView
 import org.shallotplank.gateway.peer.Peers
 import org.shallotplank.gateway.peer.RowCopy
+import org.shallotplank.gateway.peer.SeenLease
 import org.shallotplank.gateway.peer.TableCopy
 import org.shallotplank.gateway.peer.UpstreamInFlight
 import org.shallotplank.gateway.peer.fetchTable
@@ -75,6 +78,12 @@
         log = log,
         onReport = ::onPeerReport
     )
+    private val leaseGuard = LeaseGuard(
+        areFencesChecked = settings.areFencesChecked,
+        clock = clock,
+        wallClock = environment.wallClock,
+        confirmedAt = ::leaseConfirmedAt
+    )
     private lateinit var followers: Map<String, TableFollower>
     private lateinit var registration: Registration
     private lateinit var keepers: GroupKeepers
@@ -156,16 +165,28 @@
         table = schema.entryTable,
         replica = ::entryReplica,
         hasEnded = ::hasEnded,
-        guard = LeaseGuard(
-            areFencesChecked = settings.areFencesChecked,
-            clock = clock,
-            wallClock = environment.wallClock,
-            confirmedAt = { followers.getValue(schema.entryTable).answeredAt }
-        ),
+        guard = leaseGuard,
         clock = clock,
         log = log
     )
 
+    private val leasesToldAt: Instant
+        get() = followers.getValue(schema.entryTable).answeredAt
+
+    private fun leaseConfirmedAt(group: String): Instant {
+        val views = peers.alive.filter { it.report != null }.associateBy { it.report?.instance }
+        val others = entryPlaces.map { it.instance.value } - settings.instanceId.value
+        val witnesses = others.map { instance ->
+            val view = views[instance] ?: return@map null
+            LeaseWitness(
+                heardAt = view.heardAt,
+                term = view.report?.leases?.find { it.group == group }?.term,
+                storeAge = view.report?.leasesAgeMillis?.milliseconds
+            )
+        }
+        return confirmedAt(keepers.knownTerms[group], leasesToldAt, witnesses)
+    }
+
     /** A later process of the same instance shows that this one has ended, as it may say itself. */
     private fun hasEnded(candidate: KeeperCandidate, group: String): Boolean {
         val hasLeft = peers.alive.mapNotNull { it.report }.any {
@@ -220,7 +241,10 @@
         leaving = exchanges.state.upstreams.values
             .filter { it.notice.isLeaving }
             .map { LeavingUpstream(it.record.id.value, it.record.incarnation) },
-        groupsLeft = keepers.leftForGood
+        groupsLeft = keepers.leftForGood,
+        leases = keepers.knownTerms.map { (group, term) -> SeenLease(group, term) },
+        leasesAgeMillis = leasesToldAt.takeIf { leaseGuard.isTrusted(it) }
+            ?.let { (clock.now() - it).inWholeMilliseconds }
     )
 
     /** The copy of [table], or null before there is one. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -56,11 +56,15 @@
     private val claimedAt = HashMap<String, Instant>()
     private val holdings = HashMap<String, Holding>()
     private val predecessors = HashMap<String, KeeperCandidate?>()
+    private val terms = HashMap<String, Long>()
     private var checkedAt: Instant = Instant.DISTANT_PAST
 
     /** Entries that served at the last check. */
     private var serving: Collection<KeeperCandidate> = emptyList()
 
+    /** Terms of the leases as this entry last saw them, by group. */
+    val knownTerms: Map<String, Long> get() = terms
+
     /**
      * Groups that this process has kept and never will again, since it stops.
      *
@@ -91,6 +95,7 @@
         val row = around.replica().row(KEY_PREFIX + name)
         val lease = row?.let { decode(it.value) }?.let(::withAllowedDeputies)
         noteHolding(name, lease, now)
+        if (lease == null) terms.remove(name) else terms[name] = lease.term
         val fence = lease?.fenceOf(around.own, serving)
         val keeper = running[name]
         if (lease == null || fence == null) {
@@ -128,7 +133,7 @@
 
     private fun mayKeep(name: String): Boolean {
         val holding = holdings[name] ?: return around.guard.areFencesChecked
-        if (!around.guard.mayAct()) return false
+        if (!around.guard.mayAct(name)) return false
         if (!holding.isPredecessorOver) {
             val isKnownGone = holding.predecessor?.let { around.hasEnded(it, name) } ?: true
             holding.isPredecessorOver = around.guard.mayBegin(holding.seenAt, isKnownGone)
@@ -232,7 +237,7 @@
                 port = port,
                 scope = scope,
                 clock = around.clock,
-                mayAct = around.guard::mayAct,
+                mayAct = { around.guard.mayAct(name) },
                 log = around.log
             )
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseGuard.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseGuard.kt
@@ -13,25 +13,29 @@
  * that time has passed. Where ranks check fences, they tell the holders apart themselves, and the
  * guard allows everything.
  *
- * @param confirmedAt start of the last call by which the store told the rows of leases.
+ * @param confirmedAt when a group's lease was last known to be as it is seen here.
  * @param wallClock runs on while the machine is suspended, which the steady clock does not.
  */
 internal class LeaseGuard(
     val areFencesChecked: Boolean,
     private val clock: Clock,
     private val wallClock: Clock,
-    private val confirmedAt: () -> Instant
+    private val confirmedAt: (group: String) -> Instant
 ) {
     private var offset: Duration = wallClock.now() - clock.now()
     private var distrustedBefore: Instant = Instant.DISTANT_PAST
 
-    /** Whether the holder of a lease may give orders now. */
-    fun mayAct(): Boolean {
+    /** Whether the holder of the lease of [group] may give orders now. */
+    fun mayAct(group: String): Boolean {
         if (areFencesChecked) return true
-        val now = clock.now()
-        noteSuspension(now)
-        val confirmed = confirmedAt()
-        return confirmed > distrustedBefore && now - confirmed <= VALIDITY
+        val confirmed = confirmedAt(group)
+        return isTrusted(confirmed) && clock.now() - confirmed <= VALIDITY
+    }
+
+    /** Whether the steady clock tells how long ago [instant] was. */
+    fun isTrusted(instant: Instant): Boolean {
+        noteSuspension(clock.now())
+        return instant > distrustedBefore
     }
 
     /** Whether a holder may begin whose row was first seen at [seenAt]. */
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseWitness.kt
@@ -0,0 +1,37 @@
+package org.shallotplank.gateway.group
+
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * What another entry told of a group's lease.
+ *
+ * @property heardAt when it was asked.
+ * @property term the term that it saw last, null if it knows none.
+ * @property storeAge time since the store last told it the rows of leases, null if it never has.
+ */
+internal data class LeaseWitness(val heardAt: Instant, val term: Long?, val storeAge: Duration?)
+
+/**
+ * When the lease of [term] was last known to be in force.
+ *
+ * A successor begins only after it has seen its own row for [LeaseGuard.TAKEOVER_DELAY]. The lease
+ * is therefore confirmed by the store itself, by any entry that the store told of it, and, while
+ * the store tells nobody, by all other entries together: none of them had seen a successor when it
+ * was asked.
+ *
+ * @param ownAt start of the last call by which the store told this entry the rows of leases.
+ * @param witnesses one for each other entry that is registered, null for those not heard of.
+ */
+internal fun confirmedAt(
+    term: Long?,
+    ownAt: Instant,
+    witnesses: Collection<LeaseWitness?>
+): Instant {
+    if (term == null) return ownAt
+    val agreeing = witnesses.filterNotNull().filter { it.term == term }
+    val toldByStore = agreeing.mapNotNull { it.storeAge?.let { age -> it.heardAt - age } }
+    val isUnanimous = witnesses.isNotEmpty() && agreeing.size == witnesses.size
+    val toldByAll = if (isUnanimous) agreeing.minOf { it.heardAt } else Instant.DISTANT_PAST
+    return maxOf(ownAt, toldByStore.maxOrNull() ?: ownAt, toldByAll)
+}
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerReport.kt
@@ -12,6 +12,8 @@
  * @property crashes lost attempts of requests that crashed upstreams lately.
  * @property leaving upstreams that said in an answer that they leave, and that are still listed.
  * @property groupsLeft rank groups that it has kept and never will again.
+ * @property leases leases of rank groups as it last saw them.
+ * @property leasesAgeMillis time since the store last told it the leases, null if it never has.
  */
 @Serializable
 internal class PeerReport(
@@ -25,7 +27,9 @@
     val inFlight: List<UpstreamInFlight>,
     val crashes: List<KnownCrash>,
     val leaving: List<LeavingUpstream> = emptyList(),
-    val groupsLeft: List<String> = emptyList()
+    val groupsLeft: List<String> = emptyList(),
+    val leases: List<SeenLease> = emptyList(),
+    val leasesAgeMillis: Long? = null
 )
 
 /** Attempts that have not ended at one incarnation of an upstream. */
@@ -36,6 +40,10 @@
 @Serializable
 internal data class LeavingUpstream(val id: String, val incarnation: Long)
 
+/** The term of a rank group's lease. */
+@Serializable
+internal data class SeenLease(val group: String, val term: Long)
+
 /** A crash that [attempt] of a request was running in. */
 @Serializable
 internal data class KnownCrash(val customer: String, val bodySha256: String, val attempt: String)
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/LeaseGuardTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/LeaseGuardTest.kt
@@ -39,32 +39,32 @@
         @Test
         fun `a holder that woke up gives no order before the store has confirmed its row`() {
             pass(10.seconds)
-            assertFalse(guard.mayAct())
+            assertFalse(guard.mayAct("g"))
 
             confirmedAt = steadyAt
-            assertTrue(guard.mayAct())
+            assertTrue(guard.mayAct("g"))
         }
 
         @Test
         fun `a suspension that the steady clock does not show counts as well`() {
             pass(50.milliseconds)
             confirmedAt = steadyAt
-            assertTrue(guard.mayAct())
+            assertTrue(guard.mayAct("g"))
 
             wallAt += 6.seconds
-            assertFalse(guard.mayAct())
-            assertFalse(guard.mayAct(), "still not confirmed since")
+            assertFalse(guard.mayAct("g"))
+            assertFalse(guard.mayAct("g"), "still not confirmed since")
 
             pass(50.milliseconds)
             confirmedAt = steadyAt
-            assertTrue(guard.mayAct())
+            assertTrue(guard.mayAct("g"))
         }
 
         @Test
         fun `a successor begins after the holder before it has stopped`() {
             val seenAt = steadyAt
             confirmedAt = steadyAt
-            while (guard.mayAct() || steadyAt == seenAt) {
+            while (guard.mayAct("g") || steadyAt == seenAt) {
                 assertFalse(guard.mayBegin(seenAt, isPredecessorGone = false))
                 pass(50.milliseconds)
                 if (steadyAt - seenAt > 10.seconds) break
@@ -87,7 +87,7 @@
             val guard = guard(areFencesChecked = true)
             pass(60.seconds)
 
-            assertTrue(guard.mayAct())
+            assertTrue(guard.mayAct("g"))
             assertTrue(guard.mayBegin(steadyAt, isPredecessorGone = false))
         }
     }
