Plan maps and choose upstreams by the pace of the ranks

Ruled out: the demand (maps followed it all the while). Change: keepers ask some ranks for reports all the time and not only while settled; ranks a quarter slower than most count as slow, their share of the work falls with their pace, and their replicas can be given up without a copy; a rank that turns slow is planned for at once. Keepers tell the other entries, which send a slow rank requests in proportion. Tests: GroupPlanningTest, GatewayReducerTest.ASlowUpstream.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -59,6 +59,9 @@
     val plannedAt: Instant = Instant.DISTANT_PAST,
     /** Jumps of the demand when the last plan was made. */
     val plannedJumps: Int = 0,
+    /** Ranks that were slow when the last plan was made. */
+    val plannedSlowRanks: Set<Int> = emptySet(),
+    val polledAt: Instant = Instant.DISTANT_PAST,
     val nextPolledRank: Int = 0,
     /** When an order last got no answer. */
     val orderLostAt: Instant = Instant.DISTANT_PAST,
@@ -67,6 +70,22 @@
     /** Whether a rank refused the fencing number, so that nothing may be ordered any more. */
     val isFenced: Boolean = false
 ) {
+    /**
+     * Pace of the ranks that are slower than most of the group, as they last reported.
+     *
+     * The others set the measure, since all ranks are slow for a while after they have started.
+     */
+    public val slowRanks: Map<Int, Double>
+        get() {
+            val paces = allRanks.map { reports[it]?.report?.pace ?: 1.0 }
+            val usual = paces.sorted()[ranks / 2].coerceAtLeast(1.0)
+            return allRanks.associateWith { paces[it] / usual }.filterValues { it >= SLOW_PACE }
+        }
+
+    /** Whether the demand or the ranks have changed since the last plan in a way that it misses. */
+    internal val isPlanOutdated: Boolean
+        get() = demand.jumps != plannedJumps || slowRanks.keys.any { it !in plannedSlowRanks }
+
     internal val allRanks: IntRange get() = 0 until ranks
 
     /** A version that no rank has had, since it is above all of this and earlier keepers. */
@@ -80,6 +99,9 @@
     public companion object {
         /** Fencing numbers and versions that the keeper of one lease may use. */
         public const val FENCES_PER_LEASE: Long = 10_000
+
+        /** Paces below this are within what ranks differ by at any time. */
+        private const val SLOW_PACE = 1.25
     }
 }
 
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -14,9 +14,9 @@
 
 /** Reduces one event of a group's keeper. */
 public fun GroupKeeper.on(event: GroupKeeperEvent, now: Instant): GroupKeeperStep = when (event) {
-    is GroupKeeperEvent.Reported -> onReported(event, now)
+    is GroupKeeperEvent.Reported -> onReported(event, now).then { it.planIfChanged(now) }
     is GroupKeeperEvent.Counted ->
-        onCounted(event, now).concludeSwitch(now).then { it.planIfDemandJumped(now) }
+        onCounted(event, now).concludeSwitch(now).then { it.planIfChanged(now) }
     is GroupKeeperEvent.Listed -> onListed(event)
     is GroupKeeperEvent.Answered -> onAnswered(event, now)
     GroupKeeperEvent.Tick -> onTick(now)
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
@@ -11,7 +11,7 @@
 /** Follows the time: repeats what has no answer, and looks after a settled group. */
 internal fun GroupKeeper.onTick(now: Instant): GroupKeeperStep {
     if (isFenced) return Step(this)
-    return countIfDue(now).then { it.stageTick(now) }
+    return countIfDue(now).then { it.pollIfDue(now) }.then { it.stageTick(now) }
 }
 
 private fun GroupKeeper.countIfDue(now: Instant): GroupKeeperStep {
@@ -29,10 +29,13 @@
 internal fun GroupKeeper.endRound(): GroupKeeper =
     copy(demand = demand.endRound(settings.popularityHalfLife))
 
-/** Plans at once for a demand that has just jumped, unless ranks are being switched. */
-internal fun GroupKeeper.planIfDemandJumped(now: Instant): GroupKeeperStep {
+/**
+ * Plans at once for a demand that has just jumped, or for a rank that has just turned slow, unless
+ * ranks are being switched.
+ */
+internal fun GroupKeeper.planIfChanged(now: Instant): GroupKeeperStep {
     val isFree = stage is KeeperStage.Settled || stage is KeeperStage.Preparing
-    if (!isFree || isFenced || demand.jumps == plannedJumps) return Step(this)
+    if (!isFree || isFenced || !isPlanOutdated) return Step(this)
     // Nothing is armed yet, and a higher version may be prepared at any time.
     return copy(stage = KeeperStage.Settled).plan(now)
 }
@@ -44,7 +47,7 @@
         present is KeeperStage.Settled -> onSettledTick(now)
         isPreparing && now - present.since > PREPARE_TIMEOUT ->
             enter(KeeperStage.Surveying(now), now)
-        isPreparing && demand.jumps != plannedJumps -> planIfDemandJumped(now)
+        isPreparing && isPlanOutdated -> planIfChanged(now)
         now < nextWantedAt(present) -> Step(this)
         else -> Step(copy(reportsAskedAt = now), wanted(now).toPersistentList())
     }
@@ -71,15 +74,18 @@
     else -> false
 }
 
-private fun GroupKeeper.onSettledTick(now: Instant): GroupKeeperStep {
-    val asked = mutableListOf<GroupKeeperEffect>()
-    var next = this
-    if (now - reportsAskedAt >= POLL_INTERVAL) {
-        asked += GroupKeeperEffect.ReadReport(nextPolledRank)
-        next = next.copy(reportsAskedAt = now, nextPolledRank = (nextPolledRank + 1) % ranks)
-    }
-    val step = Step(next, asked.toPersistentList())
-    return if (now - plannedAt >= settings.countInterval) step.then { it.plan(now) } else step
+private fun GroupKeeper.onSettledTick(now: Instant): GroupKeeperStep =
+    if (now - plannedAt >= settings.countInterval) plan(now) else Step(this)
+
+/** Looks at some ranks after the others, for what is held or armed there and for their pace. */
+private fun GroupKeeper.pollIfDue(now: Instant): GroupKeeperStep {
+    if (epoch == 0L || now - polledAt < POLL_INTERVAL) return Step(this)
+    val count = maxOf(MIN_POLLED_RANKS, ranks / POLL_ROUNDS).coerceAtMost(ranks)
+    val asked = List(count) { GroupKeeperEffect.ReadReport((nextPolledRank + it) % ranks) }
+    return Step(
+        copy(polledAt = now, nextPolledRank = (nextPolledRank + count) % ranks),
+        asked.toPersistentList()
+    )
 }
 
 /** Ranks whose counts are read, spread evenly. */
@@ -95,8 +101,12 @@
 
 private val SURVEY_INTERVAL = 150.milliseconds
 
-/** How often a settled group is looked at, one rank after the other. */
+/** How often some ranks are looked at, one part of the group after the other. */
 private val POLL_INTERVAL = 250.milliseconds
 
+/** A slow rank is found within two seconds, in groups of few ranks sooner. */
+private const val POLL_ROUNDS = 8
+private const val MIN_POLLED_RANKS = 4
+
 /** Copies that take longer than this have failed. */
 private val PREPARE_TIMEOUT = 20.seconds
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
@@ -14,7 +14,8 @@
 /** Looks for a better map and begins the change to it, if there is one. */
 internal fun GroupKeeper.plan(now: Instant): GroupKeeperStep {
     val present = map ?: return Step(this)
-    val looked = copy(plannedAt = now, plannedJumps = demand.jumps)
+    val looked =
+        copy(plannedAt = now, plannedJumps = demand.jumps, plannedSlowRanks = slowRanks.keys)
     if (!demand.isSettled) return Step(looked)
     val plan = planFor(present)?.takeIf { it.slownessBefore >= START_SLOWNESS }
         ?: return Step(looked)
@@ -46,7 +47,6 @@
 
 private fun GroupKeeper.planFor(present: GroupMap): MapPlan? {
     val slots = placement.slotsPerRank
-    val placeholders = present.layers.maxOf { layer -> layer.maxOf { slots - it.size } }
     val settings = PlacementSettings(
         expertBytes = 1,
         weightStoreBytesPerSecond = Long.MAX_VALUE / MANY,
@@ -54,13 +54,14 @@
         goalSlowness = GOAL_SLOWNESS,
         maxLoadsPerRank = settings.maxLoadsPerRank,
         maxLoadsPerRankAndLayer = placement.spareSlots.coerceAtLeast(1),
+        vacancies = slots,
         maxSearches = MAX_SEARCHES,
         minGain = settings.minGain
     )
     return MapPlanner(settings).plan(
         map = present.padded(slots, placement.expertsPerLayer),
-        popularity = demand.popularity.withUnusedExperts(placeholders),
-        speeds = RankSpeeds.equal(ranks)
+        popularity = demand.popularity.withUnusedExperts(slots),
+        speeds = RankSpeeds.ofPaces(allRanks.map { slowRanks[it] ?: 1.0 })
     )
 }
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.RequestId
@@ -107,7 +108,9 @@
         /** Those that serve now. */
         val serving: PersistentSet<InstanceId> = persistentSetOf(),
         /** Upstreams that told other entries that they leave. */
-        val leaving: PersistentSet<UpstreamKey> = persistentSetOf()
+        val leaving: PersistentSet<UpstreamKey> = persistentSetOf(),
+        /** Pace of the ranks that the keepers of their groups find slow. */
+        val paces: PersistentMap<InstanceId, Double> = persistentMapOf()
     ) : GatewayEvent
 
     /** Another entry knows of crashes. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
@@ -123,10 +123,11 @@
         servingEntries = event.serving,
         upstreams = divided.mutate { map ->
             for ((key, upstream) in divided) {
-                val others = event.inFlight[key] ?: 0
-                if (upstream.othersOutstanding != others) {
-                    map[key] = upstream.copy(othersOutstanding = others)
-                }
+                val told = upstream.copy(
+                    othersOutstanding = event.inFlight[key] ?: 0,
+                    pace = event.paces[key.id] ?: 1.0
+                )
+                if (told != upstream) map[key] = told
             }
         }
     )
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
@@ -22,6 +22,7 @@
  * @property blockedUntil before that, nothing is sent.
  * @property fullUntil before that, it is thought to have no place.
  * @property keptUntil before that, a connection of its last answer is probably still open.
+ * @property pace time that its work takes over what it usually takes, as its group's keeper knows.
  * @property notice what it asked for in its answers, whatever its record says.
  * @property misdirectedAddress an address at which another process answered.
  * @property ownership this entry's place among those that share it, null before it is known.
@@ -38,6 +39,7 @@
     val fullUntil: Instant = Instant.DISTANT_PAST,
     val lastHeadAt: Instant = Instant.DISTANT_PAST,
     val keptUntil: Instant = Instant.DISTANT_PAST,
+    val pace: Double = 1.0,
     val notice: KnownNotice = KnownNotice(),
     val misdirectedAddress: Address? = null,
     val ownership: OwnershipPlace? = null,
@@ -90,9 +92,9 @@
         return copy(failures = failures + 1, blockedUntil = now + FIRST_BLOCK * (1 shl doublings))
     }
 
-    /** Load at which the next attempt would find it, as a share of its slots. */
+    /** Load at which the next attempt would find it, as a share of its slots at its usual pace. */
     internal fun utilization(): Double =
-        (totalOutstanding + 1).toDouble() / record.slots.coerceAtLeast(1)
+        (totalOutstanding + 1) * pace / record.slots.coerceAtLeast(1)
 
     internal companion object {
         /** Span of the rates that cold upstreams bear, which are given a second. */
--- a/core/src/main/kotlin/org/shallotplank/core/placement/LayerChange.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/LayerChange.kt
@@ -13,6 +13,14 @@
         override fun toString(): String = "rank $rank: expert $expert for a replica of $replaced"
     }
 
+    /** Gives up the replica of [replaced] in [slot]; [vacancy] stands for the empty place. */
+    public data class Vacate(val slot: Int, val rank: Int, val replaced: Int, val vacancy: Int) :
+        LayerChange {
+        override val expertsLoaded: Int get() = 0
+
+        override fun toString(): String = "rank $rank: without its replica of $replaced"
+    }
+
     /**
      * Puts a further replica of [expert] in the place of [moved], which has only that one replica
      * and goes to [otherRank], in the place of a replica of [replaced].
@@ -52,6 +60,7 @@
 internal val LayerChange.loadingRanks: List<Int>
     get() = when (this) {
         is LayerChange.Replicate -> listOf(rank)
+        is LayerChange.Vacate -> emptyList()
         is LayerChange.Relocate -> listOf(rank, otherRank)
         is LayerChange.Swap -> listOf(firstRank, secondRank)
     }
--- a/core/src/main/kotlin/org/shallotplank/core/placement/LayerLoads.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/LayerLoads.kt
@@ -5,11 +5,14 @@
  *
  * The load of a rank is the share of the tokens that its experts take, its time that load over its
  * speed.
+ *
+ * @param realExperts experts from this index on stand for places that are empty.
  */
 internal class LayerLoads(
     private val placement: LayerPlacement,
     private val shares: DoubleArray,
-    private val speeds: DoubleArray
+    private val speeds: DoubleArray,
+    private val realExperts: Int = shares.size
 ) {
     val slotsPerRank: Int = placement.slotsPerRank
     val ranks: Int = placement.ranks
@@ -34,13 +37,21 @@
 
     fun expertIn(slot: Int): Int = expertBySlot[slot]
 
-    fun isReplicated(expert: Int): Boolean = replicas[expert] > 1
+    fun isReplicated(expert: Int): Boolean = replicas[expert] > 1 || isVacancy(expert)
+
+    fun isVacancy(expert: Int): Boolean = expert >= realExperts
+
+    /** A vacancy that [rank] does not have yet, null if there is none. */
+    fun vacancyFor(rank: Int): Int? = (realExperts until experts).firstOrNull { !holds(rank, it) }
 
     fun holds(rank: Int, expert: Int): Boolean = isHeld[expert * ranks + rank]
 
     /** The load that [expert] puts on each of its ranks. */
     fun loadOf(expert: Int): Double = shares[expert] / replicas[expert]
 
+    /** Whether [rank] takes longer for its load than a usual one. */
+    fun isSlow(rank: Int): Boolean = speeds[rank] < 1.0
+
     fun time(rank: Int): Double = loads[rank] / speeds[rank]
 
     fun slowestRank(): Int {
@@ -84,6 +95,8 @@
         when (change) {
             is LayerChange.Replicate -> overwrite(change.slot, change.expert)
 
+            is LayerChange.Vacate -> overwrite(change.slot, change.vacancy)
+
             is LayerChange.Swap -> swap(change.firstSlot, change.secondSlot)
 
             is LayerChange.Relocate -> {
--- a/core/src/main/kotlin/org/shallotplank/core/placement/LayerSearch.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/LayerSearch.kt
@@ -28,6 +28,7 @@
 
     private fun offerChanges(slot: Int) {
         val rank = loads.rankOf(slot)
+        if (rank == slowest && loads.isSlow(rank)) offerVacate(slot)
         if (isFull(rank)) return
         if (rank == slowest) {
             for (expert in 0 until loads.experts) offerReplicate(slot, expert)
@@ -38,6 +39,19 @@
         for (own in ownSlots) offerSwap(own, slot)
     }
 
+    private fun offerVacate(slot: Int) {
+        val rank = loads.rankOf(slot)
+        val replaced = loads.expertIn(slot)
+        if (loads.isVacancy(replaced) || !loads.isReplicated(replaced)) return
+        val vacancy = loads.vacancyFor(rank) ?: return
+        val before = loads.penaltyOf(replaced, vacancy)
+        loads.overwrite(slot, vacancy)
+        offer(before - loads.penaltyOf(replaced, vacancy)) {
+            LayerChange.Vacate(slot, rank, replaced, vacancy)
+        }
+        loads.overwrite(slot, replaced)
+    }
+
     private fun offerReplicate(slot: Int, expert: Int) {
         val rank = loads.rankOf(slot)
         val replaced = loads.expertIn(slot)
--- a/core/src/main/kotlin/org/shallotplank/core/placement/MapPlanner.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/MapPlanner.kt
@@ -41,7 +41,8 @@
     ): MapPlan? {
         val speedByRank = speeds.toArray()
         val layers = map.layers.mapIndexed { layer, placement ->
-            LayerLoads(placement, popularity.shares(layer), speedByRank)
+            val shares = popularity.shares(layer)
+            LayerLoads(placement, shares, speedByRank, shares.size - settings.vacancies)
         }
         val before = layers.sumOf { it.slowness() } / layers.size
         val changes = improve(layers, LoadBudget(settings, speeds.size, layers.size), minGain)
--- a/core/src/main/kotlin/org/shallotplank/core/placement/PlacementSettings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/PlacementSettings.kt
@@ -35,6 +35,8 @@
     val maxLoadsPerRank: Int = 8,
     /** Experts that one rank may load in one change in one layer. */
     val maxLoadsPerRankAndLayer: Int = maxLoadsPerRank,
+    /** Experts, the last of each layer, that stand for empty places. */
+    val vacancies: Int = 0,
     /** Ranks from which on further replicas are looked for by [LayerRelief] first. */
     val reliefRanks: Int = 32,
     /** Searches of a whole layer for one plan; each costs about a third of a millisecond. */
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupPlanningTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupPlanningTest.kt
@@ -1,9 +1,12 @@
 package org.shallotplank.core.expertmap
 
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
+import kotlinx.collections.immutable.toPersistentMap
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.gateway.PlacementProfile
 
@@ -27,7 +30,49 @@
         }
     }
 
-    private fun planned(vararg tokens: IntArray): GroupKeeper {
+    /** Load pattern: one rank of a group takes several times as long for its work. */
+    @Nested
+    inner class AGroupWithASlowRank {
+        @Test
+        fun `takes the work from it without waiting for a jump of the demand`() {
+            val keeper = planned(even, even, paces = listOf(1.0, 6.0, 1.0, 1.0))
+            val next = assertIs<KeeperStage.Preparing>(keeper.stage).map
+            val before = GroupMap.initial(layers = 2, RANKS, EXPERTS)
+            val left = next.layers.sumOf { layer -> layer[1].count { it in alone(layer, 1) } }
+            assertTrue(left < before.layers.sumOf { it[1].size }, "$next")
+            next.layers.forEach { layer ->
+                assertEquals(EXPERTS, layer.flatten().toSet().size)
+            }
+        }
+
+        @Test
+        fun `is planned for anew while another change is prepared`() {
+            val keeper = planned(uneven, uneven)
+            assertIs<KeeperStage.Preparing>(keeper.stage)
+            val slow = report(pace = 5.0)
+            val next = keeper.on(GroupKeeperEvent.Reported(2, slow), now).state
+            assertEquals(setOf(2), next.plannedSlowRanks)
+        }
+
+        @Test
+        fun `is left alone where all ranks are slow`() {
+            val keeper = planned(even, even, paces = List(RANKS) { 3.0 })
+            assertIs<KeeperStage.Settled>(keeper.stage)
+            assertEquals(emptyMap(), keeper.slowRanks)
+        }
+
+        /** Experts of [layer] that stand on [rank] alone. */
+        private fun alone(layer: List<List<Int>>, rank: Int): Set<Int> = layer[rank].toSet() -
+            layer.filterIndexed { other, _ -> other != rank }.flatten().toSet()
+    }
+
+    private fun report(pace: Double) =
+        RankReport(epoch = 1, isOpen = true, step = 1, mapVersion = 0, pace = pace)
+
+    private fun planned(
+        vararg tokens: IntArray,
+        paces: List<Double> = List(RANKS) { 1.0 }
+    ): GroupKeeper {
         val layers = tokens.size
         val unknown = GroupDemand.unknown(layers, EXPERTS)
         val demand = (1..2).fold(unknown) { known, _ ->
@@ -52,6 +97,10 @@
                 minGain = 0.05
             ),
             stage = KeeperStage.Settled,
+            epoch = 1,
+            reports = paces.withIndex().associate { (rank, pace) ->
+                rank to ReceivedReport(report(pace), now)
+            }.toPersistentMap(),
             map = GroupMap.initial(layers, RANKS, EXPERTS),
             demand = demand
         )
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
@@ -247,4 +247,22 @@
 
     private fun answered(send: GatewayEffect.Send) =
         GatewayEvent.AnswerEnded(send.requestId, send.attempt, status = 200)
+
+    /** Load pattern: one rank of a group is slow, and each pass waits for all ranks. */
+    @Nested
+    inner class ASlowUpstream {
+        @Test
+        fun `gets requests in proportion to its pace`() {
+            serve(listedUpstream("u", slots = 8), listedUpstream("v", slots = 8))
+            emit(
+                GatewayEvent.PeersReported(
+                    entryCount = 1,
+                    inFlight = persistentMapOf(),
+                    paces = persistentMapOf(InstanceId("u") to 4.0)
+                )
+            )
+            val chosen = (0 until 10).map { sent("$it").upstream.id.value }
+            assertEquals(2, chosen.count { it == "u" }, "$chosen")
+        }
+    }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
@@ -5,6 +5,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.CoroutineScope
@@ -43,6 +44,7 @@
 import org.shallotplank.gateway.peer.Peers
 import org.shallotplank.gateway.peer.RowCopy
 import org.shallotplank.gateway.peer.SeenLease
+import org.shallotplank.gateway.peer.SlowRank
 import org.shallotplank.gateway.peer.TableCopy
 import org.shallotplank.gateway.peer.UpstreamInFlight
 import org.shallotplank.gateway.peer.fetchTable
@@ -242,6 +244,7 @@
             .filter { it.notice.isLeaving }
             .map { LeavingUpstream(it.record.id.value, it.record.incarnation) },
         groupsLeft = keepers.leftForGood,
+        slowRanks = keepers.slowRanks.map { (id, pace) -> SlowRank(id.value, pace) },
         leases = keepers.knownTerms.map { (group, term) -> SeenLease(group, term) },
         leasesAgeMillis = leasesToldAt.takeIf { leaseGuard.isTrusted(it) }
             ?.let { (clock.now() - it).inWholeMilliseconds }
@@ -313,11 +316,17 @@
                 serving = servingPeers().map { InstanceId(it.instance) }.toPersistentSet(),
                 leaving = reports.flatMap { it.leaving }
                     .map { UpstreamKey(InstanceId(it.id), it.incarnation) }
-                    .toPersistentSet()
+                    .toPersistentSet(),
+                paces = pacesTold(reports)
             )
         )
     }
 
+    private fun pacesTold(reports: List<PeerReport>): PersistentMap<InstanceId, Double> {
+        val told = reports.flatMap { it.slowRanks }.associate { InstanceId(it.id) to it.pace }
+        return (told + keepers.slowRanks).toPersistentMap()
+    }
+
     private suspend fun onPeerReport(view: PeerView, client: HttpClient) {
         val report = view.report ?: return
         report.crashes.forEach(::onPeerCrash)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.shallotplank.core.InstanceId
 import org.shallotplank.core.expertmap.GroupKeeper
 import org.shallotplank.core.expertmap.GroupKeeperSettings
 import org.shallotplank.core.expertmap.KeeperStage
@@ -78,6 +79,14 @@
             return endedAt.filter { (name, at) -> name !in running && at <= before }.keys.toList()
         }
 
+    /** Pace of the ranks that are slow, in the groups that this entry keeps. */
+    val slowRanks: Map<InstanceId, Double>
+        get() = running.values.flatMap { keeper ->
+            keeper.state.slowRanks.mapNotNull { (rank, pace) ->
+                keeper.ranks[rank]?.let { it.id to pace }
+            }
+        }.toMap()
+
     /** Follows the time and the list of upstreams. */
     fun tick(now: Instant) {
         running.values.forEach { it.tick(now) }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerReport.kt
@@ -12,6 +12,7 @@
  * @property crashes lost attempts of requests that crashed upstreams lately.
  * @property leaving upstreams that said in an answer that they leave, and that are still listed.
  * @property groupsLeft rank groups that it has kept and never will again.
+ * @property slowRanks ranks of the groups that it keeps whose work takes longer than usual.
  * @property leases leases of rank groups as it last saw them.
  * @property leasesAgeMillis time since the store last told it the leases, null if it never has.
  */
@@ -28,6 +29,7 @@
     val crashes: List<KnownCrash>,
     val leaving: List<LeavingUpstream> = emptyList(),
     val groupsLeft: List<String> = emptyList(),
+    val slowRanks: List<SlowRank> = emptyList(),
     val leases: List<SeenLease> = emptyList(),
     val leasesAgeMillis: Long? = null
 )
@@ -36,6 +38,10 @@
 @Serializable
 internal class UpstreamInFlight(val id: String, val incarnation: Long, val count: Int)
 
+/** A rank whose work takes [pace] times as long as usual. */
+@Serializable
+internal class SlowRank(val id: String, val pace: Double)
+
 /** One incarnation of an upstream that takes no further requests. */
 @Serializable
 internal data class LeavingUpstream(val id: String, val incarnation: Long)
