Register as soon as the tables were read, and ask entries that start together sooner

Ruled out: the store and the survey of the ranks (50 ms). Change: the first look is repeated after 50 ms; entries that do not answer are asked again at the usual interval during the first three seconds. Tests: StartTogetherTest.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayBeliefs.kt
@@ -9,7 +9,6 @@
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -127,7 +126,7 @@
         registration = Registration(settings.instanceId.value, row, schema.entryTable, store)
         exchanges.onCrash = ::onOwnCrash
         followers.values.forEach { follower -> scope.launch { follower.run() } }
-        scope.launch { keepRegistered() }
+        scope.launch { registration.keep(::entryReplica) { !exchanges.state.isStopping } }
         peers.follow(seeds)
     }
 
@@ -380,14 +379,6 @@
         exchanges.emit(GatewayEvent.ReadinessChanged(isReady))
     }
 
-    private suspend fun keepRegistered() {
-        while (!exchanges.state.isStopping) {
-            val replica = entryReplica()
-            if (replica.version >= 0) registration.ensure(replica)
-            delay(REGISTRATION_INTERVAL)
-        }
-    }
-
     private fun decodeRow(value: String): PeerRow? = try {
         Json.decodeFromString<PeerRow>(value)
     } catch (e: SerializationException) {
@@ -422,7 +413,6 @@
 
         /** After this, an entry that was paused serves with what it knows. */
         val STALE_LIMIT = 2.seconds
-        val REGISTRATION_INTERVAL = 1.seconds
         val CRASH_SHARED = 60.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/Registration.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/Registration.kt
@@ -1,5 +1,8 @@
 package org.shallotplank.gateway
 
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
 import org.shallotplank.gateway.peer.PeerRow
 import org.shallotplank.gateway.store.MetadataStore
@@ -21,6 +24,16 @@
     private val value = Json.encodeToString(row)
     private var writtenOver: Long? = null
 
+    /** Keeps the row in the table while [isWanted], from the first copy of the table on. */
+    suspend fun keep(replica: () -> TableReplica, isWanted: () -> Boolean) {
+        while (isWanted()) {
+            val known = replica()
+            val isRead = known.version >= 0
+            if (isRead) ensure(known)
+            delay(if (isRead) INTERVAL else UNREAD_INTERVAL)
+        }
+    }
+
     /** Writes the row if [replica] does not show it. */
     suspend fun ensure(replica: TableReplica) {
         val present = replica.row(key)
@@ -41,6 +54,12 @@
         /** Rows of entries begin with this in their table. */
         const val KEY_PREFIX = "entry/"
 
+        /** Often enough for a row that somebody deleted. */
+        private val INTERVAL = 1.seconds
+
+        /** The tables are read within tens of milliseconds; others wait for the registration. */
+        private val UNREAD_INTERVAL = 50.milliseconds
+
         fun keyOf(instance: String): String = KEY_PREFIX + instance
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
@@ -44,6 +44,7 @@
     private val log: (LogRecord) -> Unit,
     private val onReport: suspend (PeerView, HttpClient) -> Unit
 ) {
+    private val startedAt = clock.now()
     private val views = LinkedHashMap<Address, PeerView>()
     private val jobs = HashMap<Address, Job>()
 
@@ -78,13 +79,17 @@
                     onReport(view, client)
                 }
                 noteLiveness(view)
-                delay(if (view.isAlive) intervalOf(views.size) else AWAY_INTERVAL)
+                delay(if (view.isAlive) intervalOf(views.size) else awayInterval())
             }
         } finally {
             client.close()
         }
     }
 
+    /** Entries that start together are away for each other at first. */
+    private fun awayInterval(): Duration =
+        if (clock.now() - startedAt < START_TIME) intervalOf(views.size) else AWAY_INTERVAL
+
     private fun noteLiveness(view: PeerView) {
         val isAlive = clock.now() - view.heardAt < aliveFor
         if (isAlive == view.isAlive) return
@@ -115,6 +120,9 @@
         /** Short against the time after which an entry that ended must not be named. */
         private val TIMEOUT = 800.milliseconds
         private val AWAY_INTERVAL = 1.seconds
+
+        /** Machines that lose power together are back within a second or two of each other. */
+        private val START_TIME = 3.seconds
         private val MIN_INTERVAL = 250.milliseconds
         private val INTERVAL_PER_PEER = 40.milliseconds
 
--- /dev/null
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/StartTogetherTest.kt
@@ -0,0 +1,136 @@
+package org.shallotplank.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import java.net.ServerSocket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.encodeToByteArray
+import org.junit.jupiter.api.Nested
+import org.shallotplank.core.Address
+import org.shallotplank.gateway.http.HttpCall
+import org.shallotplank.gateway.http.HttpEndpoint
+import org.shallotplank.gateway.http.HttpReply
+import org.shallotplank.gateway.peer.PeerReport
+import org.shallotplank.gateway.peer.PeerRow
+import org.shallotplank.gateway.peer.Peers
+import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.StoreFailure
+import org.shallotplank.gateway.store.TableChanges
+import org.shallotplank.gateway.store.TableContents
+import org.shallotplank.gateway.store.TableReplica
+
+/** Load pattern: all machines lost power, and groups wait for a keeper that knows the others. */
+class StartTogetherTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val scope = CoroutineScope(group.next().asCoroutineDispatcher())
+
+    @AfterTest
+    fun close() {
+        scope.cancel()
+        group.shutdownGracefully()
+    }
+
+    @Nested
+    inner class AnEntryThatStarts {
+        @Test
+        fun `is registered as soon as it has read the tables`() {
+            val store = WrittenKeys()
+            val replica = TableReplica()
+            val row = PeerRow(1, "10.0.0.1:1", "10.0.0.1:2", "a")
+            val registration = Registration("e1", row, "t", store)
+            scope.launch { registration.keep({ replica }) { true } }
+            runBlocking {
+                delay(120.milliseconds)
+                assertEquals(emptyList(), store.keys)
+                replica.replace(TableContents(emptyList(), 1))
+                delay(300.milliseconds)
+            }
+            assertEquals(listOf("entry/e1"), store.keys)
+        }
+    }
+
+    @Nested
+    inner class EntriesThatStartOneAfterTheOther {
+        @Test
+        fun `know each other within half a second`() {
+            val peer = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+            val peers = Peers(
+                group = group,
+                own = Address("127.0.0.1", 1),
+                scope = scope,
+                clock = Clock.System,
+                aliveFor = 2.seconds,
+                log = {},
+                onReport = { _, _ -> }
+            )
+            group.next().submit { peers.follow(setOf(peer)) }.sync()
+            runBlocking { delay(300.milliseconds) }
+            HttpEndpoint(group, peer) { HttpReply(200, report(), HttpCall.CBOR) }.start()
+            runBlocking { delay(500.milliseconds) }
+            assertTrue(group.next().submit<Boolean> { peers.alive.isNotEmpty() }.get())
+        }
+
+        @OptIn(ExperimentalSerializationApi::class)
+        private fun report(): ByteArray = Cbor.encodeToByteArray(
+            PeerReport(
+                instance = "e2",
+                incarnation = 1,
+                publicAddress = "10.0.0.2:2",
+                zone = "a",
+                isReady = true,
+                isStopping = false,
+                tableVersions = emptyMap(),
+                inFlight = emptyList(),
+                crashes = emptyList()
+            )
+        )
+    }
+
+    private class WrittenKeys : MetadataStore {
+        val keys = CopyOnWriteArrayList<String>()
+
+        override suspend fun read(table: String): Either<StoreFailure, TableContents> =
+            StoreFailure.HistoryGone.left()
+
+        override suspend fun changes(
+            table: String,
+            since: Long,
+            wait: Duration
+        ): Either<StoreFailure, TableChanges> = StoreFailure.HistoryGone.left()
+
+        override suspend fun write(
+            table: String,
+            key: String,
+            value: String,
+            expected: Long
+        ): Either<StoreFailure, Unit> {
+            keys += key
+            return Unit.right()
+        }
+
+        override suspend fun delete(
+            table: String,
+            key: String,
+            expected: Long
+        ): Either<StoreFailure, Unit> = StoreFailure.HistoryGone.left()
+    }
+}
