--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -1,8 +1,5 @@
 package org.shallotplank.gateway
 
-import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -47,12 +44,6 @@
 import org.shallotplank.gateway.group.RankExperts
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.group.RunningKeeper
-import org.shallotplank.gateway.store.MetadataStore
-import org.shallotplank.gateway.store.StoreFailure
-import org.shallotplank.gateway.store.StoreRow
-import org.shallotplank.gateway.store.TableChanges
-import org.shallotplank.gateway.store.TableContents
-import org.shallotplank.gateway.store.TableReplica
 
 /** Load pattern: entries stop one after the other, while demand moves and ranks check no fences. */
 class KeeperHandOverTest {
@@ -60,7 +51,7 @@
     private val clock = object : Clock {
         override fun now(): Instant = now
     }
-    private val store = OneTable()
+    private val store = WrittenStore()
     private val entries = listOf("e1", "e2", "e3").map { Entry(KeeperCandidate(it, 1)) }
 
     private fun pass(time: Duration) {
@@ -70,6 +61,8 @@
         }
     }
 
+    private fun holder(): String? = store.replica.rows.singleOrNull()?.value
+
     private fun keeper(): Entry? = entries.filter { it.isAsking(now) }.also {
         assertTrue(it.size <= 1, "${it.map { entry -> entry.own }} act at once")
     }.singleOrNull()
@@ -119,9 +112,9 @@
             val first = checkNotNull(keeper())
             first.isHeard = false
             entries.forEach { it.readySince = now }
-            val lease = store.holder()
+            val lease = holder()
             pass(1.seconds)
-            assertEquals(lease, store.holder())
+            assertEquals(lease, holder())
 
             first.isHeard = true
             pass(3.seconds)
@@ -203,7 +196,7 @@
             val first = checkNotNull(keeper())
             first.isHeard = false
             pass(1.seconds)
-            entries.single { store.holder()?.contains(it.own.instance) == true }.stop()
+            entries.single { holder()?.contains(it.own.instance) == true }.stop()
             pass(2.seconds)
             assertTrue(entries.none { it != first && it.isAsking(now) })
         }
@@ -300,39 +293,6 @@
         override fun keepOnly(ranks: Set<RankAddress>) = Unit
     }
 
-    private class OneTable : MetadataStore {
-        val replica = TableReplica().apply { replace(TableContents(emptyList(), 0)) }
-
-        fun holder(): String? = replica.rows.singleOrNull()?.value
-
-        override suspend fun read(table: String): Either<StoreFailure, TableContents> =
-            StoreFailure.HistoryGone.left()
-
-        override suspend fun changes(
-            table: String,
-            since: Long,
-            wait: Duration
-        ): Either<StoreFailure, TableChanges> = StoreFailure.HistoryGone.left()
-
-        override suspend fun write(
-            table: String,
-            key: String,
-            value: String,
-            expected: Long
-        ): Either<StoreFailure, Unit> {
-            if ((replica.row(key)?.version ?: 0) != expected) return StoreFailure.Conflict.left()
-            val next = replica.version + 1
-            replica.apply(TableChanges(listOf(StoreRow(key, value, next)), emptyList(), next))
-            return Unit.right()
-        }
-
-        override suspend fun delete(
-            table: String,
-            key: String,
-            expected: Long
-        ): Either<StoreFailure, Unit> = StoreFailure.HistoryGone.left()
-    }
-
     private companion object {
         val TICK = 50.milliseconds
         val service = ServiceName("s")
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/StartTogetherTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/StartTogetherTest.kt
@@ -1,18 +1,13 @@
 package org.shallotplank.gateway
 
-import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import java.net.ServerSocket
-import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Clock
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
@@ -32,9 +27,6 @@
 import org.shallotplank.gateway.peer.PeerReport
 import org.shallotplank.gateway.peer.PeerRow
 import org.shallotplank.gateway.peer.Peers
-import org.shallotplank.gateway.store.MetadataStore
-import org.shallotplank.gateway.store.StoreFailure
-import org.shallotplank.gateway.store.TableChanges
 import org.shallotplank.gateway.store.TableContents
 import org.shallotplank.gateway.store.TableReplica
 
@@ -53,7 +45,7 @@
     inner class AnEntryThatStarts {
         @Test
         fun `is registered as soon as it has read the tables`() {
-            val store = WrittenKeys()
+            val store = WrittenStore()
             val replica = TableReplica()
             val row = PeerRow(1, "10.0.0.1:1", "10.0.0.1:2", "a")
             val registration = Registration("e1", row, "t", store)
@@ -104,33 +96,4 @@
             )
         )
     }
-
-    private class WrittenKeys : MetadataStore {
-        val keys = CopyOnWriteArrayList<String>()
-
-        override suspend fun read(table: String): Either<StoreFailure, TableContents> =
-            StoreFailure.HistoryGone.left()
-
-        override suspend fun changes(
-            table: String,
-            since: Long,
-            wait: Duration
-        ): Either<StoreFailure, TableChanges> = StoreFailure.HistoryGone.left()
-
-        override suspend fun write(
-            table: String,
-            key: String,
-            value: String,
-            expected: Long
-        ): Either<StoreFailure, Unit> {
-            keys += key
-            return Unit.right()
-        }
-
-        override suspend fun delete(
-            table: String,
-            key: String,
-            expected: Long
-        ): Either<StoreFailure, Unit> = StoreFailure.HistoryGone.left()
-    }
 }
