Have another entry send the hold of a map change

Ways: a hold from the keeper itself (its own suspension would hold the group until a deputy takes over, 2 s or more); a hold that expires (ranks know none); arming without a hold (a rank may begin the pass before it is armed, which breaks MAP); a hold sent by an entry that takes no other part, chosen. Change: the keeper asks a serving entry, which sends the hold straight to the rank; without an answer the keeper sends it itself. Only where ranks check fences. Test: GroupKeeperTest, a suspension after the hold, held for 4 s without delegation.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -155,12 +155,19 @@
         val prepared: PersistentSet<Int> = persistentSetOf()
     ) : KeeperStage
 
-    /** One rank is ordered to hold [step]. */
+    /**
+     * One rank is ordered to hold [step].
+     *
+     * The instance that sends this order may be suspended right after it, and the group then stands
+     * still until the rank can be reached again. Another entry therefore sends the order first; if
+     * that fails, the keeper sends it.
+     */
     public data class Holding(
         val version: Long,
         val map: GroupMap,
         val step: Long,
-        val retries: Int = 0
+        val retries: Int = 0,
+        val isDelegated: Boolean = true
     ) : KeeperStage
 
     /** The ranks are armed while [step] is held. */
@@ -249,7 +256,12 @@
         val rank: Int,
         val order: RankOrder,
         val epoch: Long,
-        val fence: Long
+        val fence: Long,
+        /**
+         * Whether another entry should send the order, so that neither the keeper's instance nor
+         * that of the rank needs to run for the change to go on after it.
+         */
+        val isDelegated: Boolean = false
     ) : GroupKeeperEffect
 
     /** Write a log line. */
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -240,11 +240,18 @@
         OrderOutcome.CONFLICT -> logged.then { it.onConflict(event, now) }
         OrderOutcome.FENCED -> logged.map { it.copy(isFenced = true) }
         OrderOutcome.NO_ANSWER -> logged.then {
-            it.copy(lastUnansweredOrderAt = now).repeatIfDue(now)
+            it.copy(lastUnansweredOrderAt = now).withoutDelegation(event.order).repeatIfDue(now)
         }
     }
 }
 
+/** Sends the hold itself from now on if the entry to which it was delegated gave no answer. */
+private fun GroupKeeper.withoutDelegation(order: RankOrder): GroupKeeper {
+    val holding = stage as? KeeperStage.Holding ?: return this
+    if (order != RankOrder.Hold(holding.step)) return this
+    return copy(stage = holding.copy(isDelegated = false))
+}
+
 /** Repeats the outstanding orders now rather than at the next tick. */
 private fun GroupKeeper.repeatIfDue(now: Instant): GroupKeeperStep {
     val isDue = stage.givesOrders() && now >= requestedAt + LOST_ORDER_INTERVAL
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperStages.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperStages.kt
@@ -55,7 +55,10 @@
         allRanks.filter { it !in current.known }.map { GroupKeeperEffect.ReadMap(it) }
     is KeeperStage.Settled -> emptyList()
     is KeeperStage.Preparing -> outstandingPrepares(current, now)
-    is KeeperStage.Holding -> listOf(sendOrder(HOLDING_RANK, RankOrder.Hold(current.step)))
+    is KeeperStage.Holding -> {
+        val order = RankOrder.Hold(current.step)
+        listOf(sendOrder(HOLDING_RANK, order, current.isDelegated))
+    }
     is KeeperStage.Arming -> {
         val order = RankOrder.Arm(current.version, current.step)
         allRanks.filter { it !in current.armed }.map { sendOrder(it, order) }
@@ -105,8 +108,11 @@
 private val GroupKeeper.isMapLong: Boolean
     get() = placement.layers * placement.slotsPerRank * ranks > LONG_MAP_SLOTS
 
-private fun GroupKeeper.sendOrder(rank: Int, order: RankOrder): GroupKeeperEffect =
-    GroupKeeperEffect.SendOrder(rank, order, epoch, fence)
+private fun GroupKeeper.sendOrder(
+    rank: Int,
+    order: RankOrder,
+    isDelegated: Boolean = false
+): GroupKeeperEffect = GroupKeeperEffect.SendOrder(rank, order, epoch, fence, isDelegated)
 
 /** Rank at which the group is held; any rank works, as all ranks begin each step together. */
 internal const val HOLDING_RANK = 0
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperTest.kt
@@ -56,6 +56,18 @@
 
             assertTrue(worst <= BALANCED_STEP_TIME * 2, "held for $worst")
         }
+
+        /** Load pattern: an instance is suspended right after its order holds the group. */
+        @Test
+        fun `holds the group no longer while the instance that sent the hold is suspended`() {
+            val group = LoadedGroup(suspensionAfterHold = 4.seconds)
+            group.timeToBalance()
+
+            assertTrue(
+                group.longestHold <= BALANCED_STEP_TIME * 2,
+                "held for ${group.longestHold}"
+            )
+        }
     }
 }
 
@@ -77,7 +89,12 @@
 )
 
 /** A rank group and its keeper; steps take longer while the map does not fit the demand. */
-private class LoadedGroup(private val lossRate: Double, seed: Long = 1) {
+private class LoadedGroup(
+    private val lossRate: Double = 0.0,
+    seed: Long = 1,
+    /** Time for which the instance that sent a hold is suspended once the rank has executed it. */
+    private val suspensionAfterHold: Duration = Duration.ZERO
+) {
     private val random = Random(seed)
     private val group = FakeRankGroup(RANKS)
     private val scheduled = PriorityQueue<ScheduledAction>(compareBy { it.at })
@@ -88,6 +105,7 @@
     private var heldSince: Instant? = null
     private var hotExpert = 0
     private var warmExpert: Int? = null
+    private var suspendedUntil = Instant.DISTANT_PAST
     private var keeper = GroupKeeper(
         group = "g",
         fence = GroupKeeper.FENCES_PER_LEASE,
@@ -204,13 +222,14 @@
     }
 
     private fun sendOrder(effect: GroupKeeperEffect.SendOrder) {
-        val isLost = random.nextDouble() < lossRate
+        val isLost = random.nextDouble() < lossRate || isSuspended(effect)
         schedule(if (isLost) ORDER_TIMEOUT else ANSWER_TIME) {
             val outcome = when {
                 isLost -> OrderOutcome.NO_ANSWER
                 isCopying(effect) -> OrderOutcome.BEGUN
                 else -> group.execute(effect.rank, effect.order, effect.epoch, effect.fence)
             }
+            if (outcome == OrderOutcome.DONE) suspendAfter(effect)
             reduce(
                 GroupKeeperEvent.Answered(
                     effect.rank,
@@ -223,6 +242,16 @@
         }
     }
 
+    /** Whether the instance of the rank is suspended, through which orders reach it. */
+    private fun isSuspended(effect: GroupKeeperEffect.SendOrder): Boolean =
+        effect.rank == HOLDING_RANK && now < suspendedUntil
+
+    /** A delegated hold is sent by an entry that takes no other part in the change. */
+    private fun suspendAfter(effect: GroupKeeperEffect.SendOrder) {
+        val isSentByRank = effect.order is RankOrder.Hold && !effect.isDelegated
+        if (isSentByRank) suspendedUntil = now + suspensionAfterHold
+    }
+
     /** Whether the rank still copies experts; copying ends without a further order. */
     private fun isCopying(effect: GroupKeeperEffect.SendOrder): Boolean {
         if (effect.order !is RankOrder.Prepare) return false
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -18,6 +18,7 @@
 import org.shallotplank.core.CustomerName
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.ZoneName
+import org.shallotplank.core.expertmap.OrderOutcome
 import org.shallotplank.core.gateway.EntryLocation
 import org.shallotplank.core.gateway.GatewayEvent
 import org.shallotplank.core.gateway.UpstreamKey
@@ -35,6 +36,7 @@
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.group.confirmedAt
 import org.shallotplank.gateway.http.HttpClient
+import org.shallotplank.gateway.peer.DelegatedHold
 import org.shallotplank.gateway.peer.KnownCrash
 import org.shallotplank.gateway.peer.LeavingUpstream
 import org.shallotplank.gateway.peer.PeerReport
@@ -46,7 +48,9 @@
 import org.shallotplank.gateway.peer.SlowRank
 import org.shallotplank.gateway.peer.TableCopy
 import org.shallotplank.gateway.peer.UpstreamInFlight
+import org.shallotplank.gateway.peer.delegate
 import org.shallotplank.gateway.peer.fetchTable
+import org.shallotplank.gateway.peer.sendDelegated
 import org.shallotplank.gateway.store.FollowSettings
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.StoreRow
@@ -62,7 +66,7 @@
 internal class ClusterView(
     private val settings: GatewayEntrySettings,
     private val schema: StoreSchema,
-    group: EventLoopGroup,
+    private val group: EventLoopGroup,
     private val scope: CoroutineScope,
     private val environment: GatewayEnvironment,
     private val exchanges: GatewayExchanges,
@@ -93,6 +97,7 @@
     private lateinit var followers: Map<String, TableFollower>
     private lateinit var registration: Registration
     private lateinit var keepers: GroupKeepers
+    private lateinit var ranks: RankPort
     private var seeds = settings.seedAddresses.toSet()
     private var staleSince: Instant? = clock.now()
     private val recentCrashes = LinkedHashMap<KnownCrash, Instant>()
@@ -135,6 +140,7 @@
             publicAddress = settings.listenAddress.toString(),
             zone = settings.zone.value
         )
+        this.ranks = ranks
         keepers = GroupKeepers(keeperContext(), store, ranks, scope)
         registration = Registration(settings.instanceId.value, row, schema.entryTable, store)
         exchanges.onCrash = ::onOwnCrash
@@ -181,6 +187,7 @@
         replica = ::entryReplica,
         hasRelinquished = ::hasRelinquished,
         guard = leaseGuard,
+        delegateHold = ::delegateHold,
         clock = clock,
         log = log
     )
@@ -241,6 +248,26 @@
     /** Deletes the row of this entry from the store. */
     suspend fun unregister(): Unit = registration.remove(entryReplica())
 
+    /** Sends the hold in [body] for another entry's keeper; [reply] gets null for a wrong body. */
+    fun sendDelegatedHold(body: ByteArray, reply: (ByteArray?) -> Unit) {
+        scope.launch { reply(sendDelegated(body, ranks)) }
+    }
+
+    /**
+     * Has one of the other serving entries send [hold].
+     *
+     * Only where ranks check fences, since that entry may be suspended and send the hold when the
+     * group already has another keeper.
+     */
+    private suspend fun delegateHold(hold: DelegatedHold): OrderOutcome {
+        if (!settings.areFencesChecked) return OrderOutcome.NO_ANSWER
+        val peer = peers.alive
+            .filter { view -> view.report?.let { it.isReady && !it.isStopping } == true }
+            .randomOrNull(environment.random)
+            ?: return OrderOutcome.NO_ANSWER
+        return delegate(hold, peer.address, group)
+    }
+
     /** The report that this entry sends to the others. */
     fun report(): PeerReport = PeerReport(
         instance = settings.instanceId.value,
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
@@ -11,6 +11,7 @@
 import org.shallotplank.gateway.http.HttpCall
 import org.shallotplank.gateway.http.HttpEndpoint
 import org.shallotplank.gateway.http.HttpReply
+import org.shallotplank.gateway.peer.HOLD_PATH
 import org.shallotplank.gateway.peer.Peers
 
 /** The interfaces of an entry except that for callers: readiness, directory, peers, metrics. */
@@ -26,7 +27,7 @@
     fun start() {
         HttpEndpoint(group, settings.readinessAddress, ::readiness).start()
         HttpEndpoint(group, settings.directoryAddress, ::entries).start()
-        HttpEndpoint(group, settings.peerAddress, ::peer).start()
+        HttpEndpoint(group, settings.peerAddress) { request, reply -> peer(request, reply) }.start()
         val metricsAddress = settings.listenAddress.copy(port = settings.metricsPort)
         HttpEndpoint(group, metricsAddress) { scrape() }.start()
         metrics.gauge(GatewayMetric.STORE_AGE) {
@@ -48,6 +49,13 @@
         return HttpReply(OK, wire.entryList(addresses, ttl.toDouble(DurationUnit.SECONDS)))
     }
 
+    private fun peer(request: EndpointRequest, reply: (HttpReply) -> Unit) {
+        if (request.path != HOLD_PATH) return reply(peer(request))
+        clusterView.sendDelegatedHold(request.body) { outcome ->
+            reply(outcome?.let { HttpReply(OK, it, HttpCall.CBOR) } ?: HttpReply(BAD_REQUEST))
+        }
+    }
+
     @OptIn(ExperimentalSerializationApi::class)
     private fun peer(request: EndpointRequest): HttpReply = when (request.path) {
         Peers.REPORT_PATH ->
@@ -67,6 +75,7 @@
 
     private companion object {
         const val OK = 200
+        const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -13,12 +13,14 @@
 import org.shallotplank.core.expertmap.GroupKeeper
 import org.shallotplank.core.expertmap.GroupKeeperSettings
 import org.shallotplank.core.expertmap.KeeperStage
+import org.shallotplank.core.expertmap.OrderOutcome
 import org.shallotplank.core.gateway.GatewayState
 import org.shallotplank.core.gateway.GatewayUpstream
 import org.shallotplank.core.gateway.PlacementProfile
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
+import org.shallotplank.gateway.peer.DelegatedHold
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.TableReplica
 
@@ -33,6 +35,8 @@
     /** Whether the candidate is known never to issue orders for the group again. */
     val hasRelinquished: (KeeperCandidate, group: String) -> Boolean,
     val guard: LeaseGuard,
+    /** Has another entry send a hold; returns the outcome that it reports. */
+    val delegateHold: suspend (DelegatedHold) -> OrderOutcome,
     val clock: Clock,
     val log: (LogRecord) -> Unit
 )
@@ -276,6 +280,7 @@
                 scope = scope,
                 clock = context.clock,
                 mayIssueOrders = { context.guard.mayIssueOrders(name) },
+                delegateHold = context.delegateHold,
                 log = context.log
             )
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RankPort.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RankPort.kt
@@ -43,6 +43,17 @@
         fence: Long
     ): OrderOutcome
 
+    /**
+     * Sends an order on behalf of the keeper of another entry, on a connection of its own straight
+     * to the rank.
+     */
+    public suspend fun sendDelegatedOrder(
+        rank: RankAddress,
+        order: RankOrder,
+        epoch: Long,
+        fence: Long
+    ): OrderOutcome
+
     /** Closes the connections to ranks that are not among [ranks]. */
     public fun keepOnly(ranks: Set<RankAddress>)
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
@@ -8,8 +8,11 @@
 import org.shallotplank.core.expertmap.GroupKeeperEffect
 import org.shallotplank.core.expertmap.GroupKeeperEvent
 import org.shallotplank.core.expertmap.KeeperStage
+import org.shallotplank.core.expertmap.OrderOutcome
+import org.shallotplank.core.expertmap.RankOrder
 import org.shallotplank.core.expertmap.on
 import org.shallotplank.core.log.LogRecord
+import org.shallotplank.gateway.peer.DelegatedHold
 
 /** Runs the reducer of one group's keeper and performs its effects. */
 internal class RunningKeeper(
@@ -20,6 +23,8 @@
     private val clock: Clock,
     /** Whether the keeper may issue orders now. */
     private val mayIssueOrders: () -> Boolean,
+    /** Has another entry send a hold. */
+    private val delegateHold: suspend (DelegatedHold) -> OrderOutcome,
     private val log: (LogRecord) -> Unit
 ) {
     /** The state after the last event. */
@@ -92,10 +97,21 @@
     }
 
     private fun sendOrder(effect: GroupKeeperEffect.SendOrder) = callRank(effect.rank) { address ->
-        val outcome = port.sendOrder(address, effect.order, effect.epoch, effect.fence)
+        val hold = (effect.order as? RankOrder.Hold)?.takeIf { effect.isDelegated }
+        val outcome = if (hold == null) {
+            port.sendOrder(address, effect.order, effect.epoch, effect.fence)
+        } else {
+            delegateHold(delegated(hold, address, effect))
+        }
         GroupKeeperEvent.Answered(effect.rank, effect.epoch, effect.fence, effect.order, outcome)
     }
 
+    private fun delegated(
+        hold: RankOrder.Hold,
+        rank: RankAddress,
+        effect: GroupKeeperEffect.SendOrder
+    ) = DelegatedHold(rank.id.value, "${rank.address}", hold.step, effect.epoch, effect.fence)
+
     private fun callRank(rank: Int, call: suspend (RankAddress) -> GroupKeeperEvent?) {
         val address = ranks[rank] ?: return
         scope.launch { call(address)?.let { reduce(it) } }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpEndpoint.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpEndpoint.kt
@@ -1,6 +1,7 @@
 package org.shallotplank.gateway.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
@@ -25,18 +26,31 @@
 public class EndpointRequest(
     public val method: String,
     public val path: String,
-    private val parameters: Map<String, List<String>>
+    private val parameters: Map<String, List<String>>,
+    public val body: ByteArray = ByteArray(0)
 ) {
     /** The first value of the query parameter [name], or null. */
     public fun parameter(name: String): String? = parameters[name]?.firstOrNull()
 }
 
-/** Serves one of the system's own interfaces at [address]; [answer] must not block. */
+/**
+ * Serves one of the system's own interfaces at [address].
+ *
+ * @param answer must not block; it passes its reply to the function that it is given, at once or
+ *   later on the event loop.
+ */
 public class HttpEndpoint(
     private val group: EventLoopGroup,
     private val address: Address,
-    private val answer: (EndpointRequest) -> HttpReply
+    private val answer: (EndpointRequest, reply: (HttpReply) -> Unit) -> Unit
 ) {
+    /** Serves an interface that answers each request at once. */
+    public constructor(
+        group: EventLoopGroup,
+        address: Address,
+        answer: (EndpointRequest) -> HttpReply
+    ) : this(group, address, { request, reply -> reply(answer(request)) })
+
     private var listening: Channel? = null
 
     /** Starts listening; throws [java.io.IOException] if the address cannot be bound. */
@@ -68,14 +82,23 @@
 
     private inner class RequestHandler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
-            val reply = if (message.decoderResult().isFailure) {
-                HttpReply(status = 400)
-            } else {
-                val target = QueryStringDecoder(message.uri())
-                answer(EndpointRequest(message.method().name(), target.path(), target.parameters()))
+            if (message.decoderResult().isFailure) {
+                send(context, HttpReply(status = 400), isKept = false)
+                return
             }
+            val isKept = HttpUtil.isKeepAlive(message)
+            val target = QueryStringDecoder(message.uri())
+            val request = EndpointRequest(
+                message.method().name(),
+                target.path(),
+                target.parameters(),
+                ByteBufUtil.getBytes(message.content())
+            )
+            answer(request) { send(context, it, isKept) }
+        }
+
+        private fun send(context: ChannelHandlerContext, reply: HttpReply, isKept: Boolean) {
             val response = reply.message()
-            val isKept = HttpUtil.isKeepAlive(message) && !message.decoderResult().isFailure
             if (!isKept) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -177,6 +177,7 @@
             scope = CoroutineScope(Dispatchers.Unconfined),
             clock = clock,
             mayIssueOrders = { true },
+            delegateHold = { OrderOutcome.NO_ANSWER },
             log = {}
         )
     }
@@ -230,6 +231,7 @@
                     wallClock = clock,
                     confirmedAt = { now }
                 ),
+                delegateHold = { OrderOutcome.NO_ANSWER },
                 clock = clock,
                 log = {}
             ),
@@ -295,6 +297,13 @@
             return OrderOutcome.DONE
         }
 
+        override suspend fun sendDelegatedOrder(
+            rank: RankAddress,
+            order: RankOrder,
+            epoch: Long,
+            fence: Long
+        ): OrderOutcome = sendOrder(rank, order, epoch, fence)
+
         override fun keepOnly(ranks: Set<RankAddress>) = Unit
     }
 
