Judge silence and load by the time that iterations take

Attempts that waited for their first event were given up as hung after 0.75 s, 120 of them, and sent again; the limit by pauses kept its value from before and refused 1,400 requests, which shortened no pass. Change: an attempt counts as hung only after four of the pauses last seen; pauses too long to be due to load for a second end the limit.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/EventPauseEstimate.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/EventPauseEstimate.kt
@@ -9,6 +9,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import org.shallotplank.core.ServiceName
+import org.shallotplank.core.expertmap.GroupPauses
 
 /**
  * Estimates how much each running request adds to the pause between events of a service's streams.
@@ -21,11 +22,17 @@
  *   time; null before the first observation.
  * @property observedAt when it was last observed.
  * @property recentlyRunning numbers of requests that ran at the last observations, the latest last.
+ * @property lastPause last observed pause, null before the first observation.
+ * @property lastPauseAt when [lastPause] was observed.
+ * @property stalledSince when the present series of stalls was first observed, null without one.
  */
 public data class EventPauseEstimate(
     val pausePerRequest: Duration? = null,
     val observedAt: Instant = Instant.DISTANT_PAST,
-    val recentlyRunning: PersistentList<Int> = persistentListOf()
+    val recentlyRunning: PersistentList<Int> = persistentListOf(),
+    val lastPause: Duration? = null,
+    val lastPauseAt: Instant = Instant.DISTANT_PAST,
+    val stalledSince: Instant? = null
 ) {
     /**
      * Highest number of requests that may have run in the iterations that are observed now.
@@ -34,17 +41,37 @@
      */
     internal val maxRecentlyRunning: Int get() = recentlyRunning.maxOrNull() ?: 0
 
-    internal fun withRunning(count: Int): EventPauseEstimate = copy(
-        recentlyRunning = (recentlyRunning + count).takeLast(
-            RECENT_OBSERVATIONS
-        ).toPersistentList()
+    internal fun withPause(pause: Duration, running: Int, now: Instant): EventPauseEstimate = copy(
+        recentlyRunning = (recentlyRunning + running).takeLast(RECENT_OBSERVATIONS)
+            .toPersistentList(),
+        lastPause = pause,
+        lastPauseAt = now
     )
 
+    /**
+     * Records that the last pause is a stall.
+     *
+     * Iterations that stall for [STALL_TIME] are long for another reason than load, which the
+     * estimate from before does not describe.
+     */
+    internal fun withStall(now: Instant): EventPauseEstimate {
+        val since = stalledSince ?: now
+        val isPersistent = now - since >= STALL_TIME
+        return copy(
+            stalledSince = since,
+            pausePerRequest = pausePerRequest.takeIf { !isPersistent }
+        )
+    }
+
     internal fun withObservation(observed: Duration, now: Instant): EventPauseEstimate {
         val before = pausePerRequest ?: observed
         val kept = exp(-((now - observedAt) / DECAY_TIME))
         val decayed = observed + (before - observed) * kept
-        return copy(pausePerRequest = maxOf(observed, decayed), observedAt = now)
+        return copy(
+            pausePerRequest = maxOf(observed, decayed),
+            observedAt = now,
+            stalledSince = null
+        )
     }
 
     private companion object {
@@ -54,6 +81,9 @@
          */
         val DECAY_TIME = 7.seconds
 
+        /** Longer than one stalled iteration of most engines. */
+        val STALL_TIME = 1.seconds
+
         /**
          * Covers every iteration that is not a stall: observations arrive every 200 ms, and an
          * iteration of twice that is a stall.
@@ -62,18 +92,31 @@
     }
 }
 
+/** Pauses of [service]'s streams as this entry last observed them, null without recent ones. */
+public fun GatewayState.recentPauses(service: ServiceName, now: Instant): GroupPauses? {
+    val estimate = pauseEstimates[service] ?: return null
+    val recent = estimate.lastPause?.takeIf { now - estimate.lastPauseAt < RECENT_PAUSE_WINDOW }
+    val engine = service(service)?.engine
+    val acceptable = routesInForce.longestPauses[service]
+    if (recent == null || engine == null || acceptable == null) return null
+    return GroupPauses(recent, acceptable, fixed = engine.stepTime * engine.eventStride)
+}
+
 internal fun GatewayState.onPausesObserved(
     pauses: PersistentMap<ServiceName, Duration>,
     context: GatewayContext
 ): GatewayStep {
     val next = pauses.entries.fold(pauseEstimates) { known, (service, pause) ->
         val running = upstreamsOf(service).sumOf { it.totalOutstanding }
-        val estimate = (known[service] ?: EventPauseEstimate()).withRunning(running)
+        val estimate =
+            (known[service] ?: EventPauseEstimate()).withPause(pause, running, context.now)
         val pausePerRequest = pausePerRequestOf(service, pause, estimate.maxRecentlyRunning)
-        known.put(
-            service,
-            pausePerRequest?.let { estimate.withObservation(it, context.now) } ?: estimate
-        )
+        val next = when {
+            pausePerRequest != null -> estimate.withObservation(pausePerRequest, context.now)
+            isStall(service, pause) -> estimate.withStall(context.now)
+            else -> estimate.copy(stalledSince = null)
+        }
+        known.put(service, next)
     }
     return copy(pauseEstimates = next).resizeQueues(context)
 }
@@ -90,9 +133,8 @@
     running: Int
 ): Duration? {
     val engine = service(service)?.engine ?: return null
-    val longest = routesInForce.longestPauses[service] ?: return null
     val slots = upstreamsOf(service).sumOf { it.record.slots }
-    val isMeaningful = running >= slots * MIN_OBSERVED_SHARE && pause <= longest * STALL_PAUSES
+    val isMeaningful = running >= slots * MIN_OBSERVED_SHARE && !isStall(service, pause)
     val loadDependent = pause - engine.stepTime * engine.eventStride
     return (loadDependent / running.coerceAtLeast(1)).takeIf {
         isMeaningful &&
@@ -100,11 +142,16 @@
     }
 }
 
+private fun GatewayState.isStall(service: ServiceName, pause: Duration): Boolean {
+    val longest = routesInForce.longestPauses[service] ?: return false
+    return pause > longest * STALL_PAUSES
+}
+
 /**
  * Highest number of requests that the engines of [service] may run at once with acceptable pauses.
  *
  * An iteration takes a fixed time plus a time that grows with the number of requests in it. Returns
- * [slots] before the first observation.
+ * [slots] before the first observation and while iterations stall.
  */
 internal fun GatewayState.maxRunningWithinPause(service: ServiceName, slots: Int): Int {
     val pausePerRequest = pauseEstimates[service]?.pausePerRequest ?: return slots
@@ -129,3 +176,6 @@
 
 /** Share of the slots that stays usable however long the pauses are. */
 private const val MIN_SLOT_SHARE = 0.4
+
+/** Age from which a pause no longer describes the service. */
+private val RECENT_PAUSE_WINDOW = 2.seconds
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -162,8 +162,9 @@
  * Cancels an attempt that counts as hung and retries its call.
  *
  * An attempt counts as hung if its upstream has been silent for too long while another upstream of
- * the service answered recently. It is cancelled only if its route is idempotent and a retry is
- * allowed.
+ * the service answered recently. While all streams of the service pause for long, a silence of
+ * several such pauses is needed. The attempt is cancelled only if its route is idempotent and a
+ * retry is allowed.
  */
 internal fun GatewayState.onAttemptSilent(
     event: GatewayEvent.AttemptSilent,
@@ -171,10 +172,12 @@
 ): GatewayStep {
     val open = open(event.requestId, event.attempt) ?: return Step(this)
     val call = open.call
-    val maxSilence = when {
+    val usualSilence = when {
         !call.isAnswerBegun -> (call.route.goal * HUNG_GOAL_MULTIPLE).coerceAtLeast(MIN_SILENCE)
         else -> ((call.route.longestPause ?: MIN_SILENCE) * HUNG_PAUSE_MULTIPLE)
     }
+    val iterationTime = recentPauses(call.service, context.now)?.recent ?: Duration.ZERO
+    val maxSilence = maxOf(usualSilence, iterationTime * HUNG_ITERATIONS)
     val doOthersAnswer = upstreamsOf(call.service).any {
         it.key != open.sent.upstream && context.now - it.lastAnswerHeadAt < RECENT_ANSWER_WINDOW
     }
@@ -269,6 +272,9 @@
 private const val HUNG_PAUSE_MULTIPLE = 8
 private val MIN_SILENCE = 400.milliseconds
 
+/** An engine reads a prompt and sends its first event within three iterations of its group. */
+private const val HUNG_ITERATIONS = 4
+
 /** Another upstream must have answered within this time; otherwise all of them may be stalled. */
 private val RECENT_ANSWER_WINDOW = 300.milliseconds
 
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
@@ -169,7 +169,7 @@
             serve(listedUpstream("u"), listedUpstream("v"))
             val hung = sent("1", RequestKind.STREAM)
             now += 800.milliseconds
-            val silence = GatewayEvent.AttemptSilent(hung.requestId, hung.attempt, 800.milliseconds)
+            val silence = silenceOf(hung, 800.milliseconds)
             assertEquals(emptyList(), emit(silence))
             val other = sent("2", RequestKind.STREAM)
             emit(GatewayEvent.HeadReceived(other.requestId, other.attempt, 200, load = null))
@@ -177,6 +177,22 @@
             assertIs<GatewayEffect.CancelAttempt>(effects.first())
             assertIs<GatewayEffect.Send>(effects.last())
         }
+
+        /** Load pattern: one rank is slow, and each iteration of its group takes half a second. */
+        @Test
+        fun `are not abandoned while all streams of the service pause for long`() {
+            val engine = EngineProfile(eventStride = 4, stepTime = 5.milliseconds)
+            serve(listedUpstream("u"), listedUpstream("v"), table = testTable(engine = engine))
+            val slow = sent("1", RequestKind.STREAM)
+            emit(GatewayEvent.PausesObserved(persistentMapOf(testService to 500.milliseconds)))
+            val other = sent("2", RequestKind.STREAM)
+            emit(GatewayEvent.HeadReceived(other.requestId, other.attempt, 200, load = null))
+            assertEquals(emptyList(), emit(silenceOf(slow, 1_600.milliseconds)))
+            assertIs<GatewayEffect.CancelAttempt>(emit(silenceOf(slow, 2_000.milliseconds)).first())
+        }
+
+        private fun silenceOf(send: GatewayEffect.Send, silence: Duration) =
+            GatewayEvent.AttemptSilent(send.requestId, send.attempt, silence)
     }
 
     @Nested
@@ -238,6 +254,25 @@
             assertEquals(before, state.maxRunningWithinPause(testService, slots = 20))
         }
 
+        /** Load pattern: one rank is so slow that iterations are long however few requests run. */
+        @Test
+        fun `is no longer inferred once pauses are too long to be due to load`() {
+            serve(listedUpstream("u", slots = 20), table = testTable(engine = engine))
+            repeat(20) { sent("$it", RequestKind.STREAM) }
+            observe(200.milliseconds)
+            assertTrue(state.maxRunningWithinPause(testService, slots = 20) < 20)
+            observe(500.milliseconds, during = 2.seconds)
+            assertEquals(20, state.maxRunningWithinPause(testService, slots = 20))
+        }
+
+        private fun observe(pause: Duration, during: Duration) {
+            val interval = 200.milliseconds
+            repeat((during / interval).toInt()) {
+                now += interval
+                observe(pause)
+            }
+        }
+
         private fun observe(pause: Duration) {
             emit(GatewayEvent.PausesObserved(persistentMapOf(testService to pause)))
         }
