Leave a map alone while streams are on time in spite of it

Ways: any gain over a threshold (before); a goal from the pauses at the moment of a plan; a goal from what a unit of imbalance added to the pauses between jumps of demand (kept), since pauses lag behind a jump. Change: no change while the expected pauses are below 0.6 of the acceptable one; a change stops at the imbalance that brings them there, between 1.06 and 1.3. Without observed pauses as before. Tests: GroupPlanningTest, a group under light load.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -48,6 +48,15 @@
     /** The first step that ran with [map]. */
     val mapStep: Long = 0,
     val lastVersion: Long = 0,
+    /** Pauses of the streams that the entry of this keeper serves, null if none were observed. */
+    val pauses: GroupPauses? = null,
+    /**
+     * Part of a pause that each unit of imbalance adds, null before it was observed.
+     *
+     * Observed between jumps of demand only: right after one, the pauses still show the imbalance
+     * before it.
+     */
+    val pausePerImbalance: Duration? = null,
     val demand: GroupDemand =
         GroupDemand.unknown(placement.layers, placement.expertsPerLayer),
     val counts: PersistentMap<Int, PersistentList<Long>> = persistentMapOf(),
@@ -80,6 +89,7 @@
     public val slowRanks: Map<Int, Double>
         get() {
             val slowdowns = allRanks.map { reports[it]?.report?.slowdown ?: 1.0 }
+            if (slowdowns.all { it < MIN_SLOW_RANK_SLOWDOWN }) return emptyMap()
             val median = slowdowns.sorted()[ranks / 2].coerceAtLeast(1.0)
             return allRanks.associateWith { slowdowns[it] / median }
                 .filterValues { it >= MIN_SLOW_RANK_SLOWDOWN }
@@ -236,6 +246,9 @@
         val outcome: OrderOutcome
     ) : GroupKeeperEvent
 
+    /** The entry observed pauses of the group's streams, or none for some time. */
+    public data class PausesObserved(val pauses: GroupPauses?) : GroupKeeperEvent
+
     /** The periodic timer fired. */
     public data object Tick : GroupKeeperEvent
 }
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -19,6 +19,7 @@
         onCounted(event, now).concludeSwitch(now).then { it.planIfChanged(now) }
     is GroupKeeperEvent.Listed -> onListed(event)
     is GroupKeeperEvent.Answered -> onAnswered(event, now)
+    is GroupKeeperEvent.PausesObserved -> Step(copy(pauses = event.pauses))
     GroupKeeperEvent.Tick -> onTick(now)
 }
 
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
@@ -11,14 +11,20 @@
 import org.shallotplank.core.placement.RankSpeeds
 import org.shallotplank.core.then
 
-/** Searches for a better map and starts the change to it, if there is one. */
+/**
+ * Searches for a better map and starts the change to it, if there is one.
+ *
+ * Makes no change while streams are on time with a margin in spite of the imbalance, since copies
+ * have a cost and a change holds the group for a moment.
+ */
 internal fun GroupKeeper.plan(now: Instant): GroupKeeperStep {
     val current = map ?: return Step(this)
     val attempted =
         copy(plannedAt = now, plannedJumps = demand.jumps, plannedSlowRanks = slowRanks.keys)
     if (!demand.isSettled) return Step(attempted)
-    val plan = planFor(current)?.takeIf { it.imbalanceBefore >= MIN_MEAN_IMBALANCE }
-        ?: return Step(attempted)
+    val search = MapSearch(attempted, current)
+    val observed = attempted.copy(pausePerImbalance = observedPausePerImbalance(search.imbalance))
+    val plan = observed.planFrom(search) ?: return Step(observed)
     val version = nextVersion()
     val next = GroupMap.of(plan.map, placement.expertsPerLayer)
     val record = logRecord(
@@ -30,10 +36,18 @@
         "slowness_before" to "%.3f".format(plan.imbalanceBefore),
         "slowness_after" to "%.3f".format(plan.imbalanceAfter)
     )
-    return Step(attempted.copy(lastVersion = version), effects(GroupKeeperEffect.Log(record)))
+    return Step(observed.copy(lastVersion = version), effects(GroupKeeperEffect.Log(record)))
         .then { it.enter(KeeperStage.Preparing(version, next, now, now + it.copyTime(next)), now) }
 }
 
+/** The map to change to, null if none is worth a change. */
+private fun GroupKeeper.planFrom(search: MapSearch): MapPlan? {
+    val calmImbalance = calmImbalance
+    if (calmImbalance != null && search.imbalance <= calmImbalance) return null
+    val goal = (calmImbalance ?: GOAL_IMBALANCE).coerceIn(GOAL_IMBALANCE, TRIGGER_IMBALANCE)
+    return search.plan(goal)?.takeIf { it.imbalanceBefore >= MIN_MEAN_IMBALANCE }
+}
+
 /** Copy time of the rank that must copy the most experts for [next]. */
 private fun GroupKeeper.copyTime(next: GroupMap): Duration {
     val current = map ?: return Duration.ZERO
@@ -45,24 +59,42 @@
     return placement.expertCopyTime * most
 }
 
-private fun GroupKeeper.planFor(current: GroupMap): MapPlan? {
-    val slots = placement.slotsPerRank
-    val settings = PlacementSettings(
+/** Imbalance up to which streams are on time with a margin, null if it is unknown. */
+private val GroupKeeper.calmImbalance: Double?
+    get() = pausePerImbalance?.let { pauses?.calmImbalance(it) }
+
+/** The highest of the recent observations, so that a short lull of the load does not count. */
+private fun GroupKeeper.observedPausePerImbalance(imbalance: Double): Duration? {
+    val before = pausePerImbalance
+    if (isPlanOutdated) return before
+    val observed = pauses?.perImbalance(imbalance) ?: return before
+    return maxOf(observed, (before ?: Duration.ZERO) * KEPT_PAUSE_SHARE)
+}
+
+/** Search for a better map than [current] under the present demand of [keeper]. */
+private class MapSearch(keeper: GroupKeeper, current: GroupMap) {
+    private val slots = keeper.placement.slotsPerRank
+    private val map = current.padded(slots, keeper.placement.expertsPerLayer)
+    private val popularity = keeper.demand.popularity.withUnusedExperts(slots)
+    private val speeds = keeper.slowRanks.let { slow ->
+        RankSpeeds.ofSlowdowns(keeper.allRanks.map { slow[it] ?: 1.0 })
+    }
+    private val settings = PlacementSettings(
         expertBytes = 1,
         weightStoreBytesPerSecond = Long.MAX_VALUE / OVERFLOW_DIVISOR,
         triggerImbalance = TRIGGER_IMBALANCE,
         goalImbalance = GOAL_IMBALANCE,
-        maxLoadsPerRank = settings.maxLoadsPerRank,
-        maxLoadsPerRankAndLayer = placement.spareSlots.coerceAtLeast(1),
+        maxLoadsPerRank = keeper.settings.maxLoadsPerRank,
+        maxLoadsPerRankAndLayer = keeper.placement.spareSlots.coerceAtLeast(1),
         vacancies = slots,
         maxSearches = MAX_SEARCHES,
-        minGain = settings.minGain
-    )
-    return MapPlanner(settings).plan(
-        map = current.padded(slots, placement.expertsPerLayer),
-        popularity = demand.popularity.withUnusedExperts(slots),
-        speeds = RankSpeeds.ofSlowdowns(allRanks.map { slowRanks[it] ?: 1.0 })
+        minGain = keeper.settings.minGain
     )
+
+    val imbalance: Double = MapPlanner(settings).imbalance(map, popularity, speeds)
+
+    fun plan(goalImbalance: Double): MapPlan? =
+        MapPlanner(settings.copy(goalImbalance = goalImbalance)).plan(map, popularity, speeds)
 }
 
 /**
@@ -77,7 +109,7 @@
  */
 private const val MIN_MEAN_IMBALANCE = 1.25
 
-/** Imbalance at which the improvement of a layer stops. */
+/** Lowest imbalance at which the improvement of a layer stops. */
 private const val GOAL_IMBALANCE = 1.06
 
 /**
@@ -88,3 +120,6 @@
 
 /** Bounds the time of one plan on the entry's only thread to about 24 ms. */
 private const val MAX_SEARCHES = 64
+
+/** Part of the highest pause per imbalance that is kept from one plan to the next. */
+private const val KEPT_PAUSE_SHARE = 0.95
--- a/core/src/main/kotlin/org/shallotplank/core/placement/MapPlanner.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/MapPlanner.kt
@@ -40,23 +40,37 @@
         speeds: RankSpeeds,
         minGain: Double = settings.minGain
     ): MapPlan? {
-        val speedByRank = speeds.toArray()
-        val layers = map.layers.mapIndexed { layer, placement ->
-            val shares = popularity.shares(layer)
-            LayerLoads(placement, shares, speedByRank, shares.size - settings.vacancies)
-        }
-        val before = layers.sumOf { it.imbalance() } / layers.size
+        val layers = loadsOf(map, popularity, speeds)
+        val before = layers.meanImbalance()
         val changes = improve(layers, LoadBudget(settings, speeds.size, layers.size), minGain)
         if (changes.isEmpty()) return null
         return MapPlan(
             map = ExpertMap(layers.map { it.toPlacement() }.toPersistentList()),
             expertsLoaded = layers.sumOf { it.loadsNeeded() },
             imbalanceBefore = before,
-            imbalanceAfter = layers.sumOf { it.imbalance() } / layers.size,
+            imbalanceAfter = layers.meanImbalance(),
             changes = changes.toPersistentList()
         )
     }
 
+    /** Returns slowest rank's time over the ideal time under [map], mean of the layers. */
+    public fun imbalance(map: ExpertMap, popularity: ExpertPopularity, speeds: RankSpeeds): Double =
+        loadsOf(map, popularity, speeds).meanImbalance()
+
+    private fun loadsOf(
+        map: ExpertMap,
+        popularity: ExpertPopularity,
+        speeds: RankSpeeds
+    ): List<LayerLoads> {
+        val speedByRank = speeds.toArray()
+        return map.layers.mapIndexed { layer, placement ->
+            val shares = popularity.shares(layer)
+            LayerLoads(placement, shares, speedByRank, shares.size - settings.vacancies)
+        }
+    }
+
+    private fun List<LayerLoads>.meanImbalance(): Double = sumOf { it.imbalance() } / size
+
     private fun improve(
         layers: List<LayerLoads>,
         budget: LoadBudget,
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupPlanningTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupPlanningTest.kt
@@ -30,6 +30,51 @@
         }
     }
 
+    /** Load pattern: the load is light, so that streams are on time although the map is uneven. */
+    @Nested
+    inner class AGroupUnderLightLoad {
+        @Test
+        fun `keeps its map while pauses are far below the acceptable ones`() {
+            assertIs<KeeperStage.Settled>(planned(uneven, uneven, pauses = pauses(60)).stage)
+        }
+
+        @Test
+        fun `gets a new map once pauses approach the acceptable ones`() {
+            assertIs<KeeperStage.Preparing>(planned(uneven, uneven, pauses = pauses(100)).stage)
+        }
+
+        @Test
+        fun `copies fewer experts the shorter its pauses are`() {
+            val copies = listOf(76, 200)
+                .map { copiesOf(planned(steep, steep, pauses = pauses(it))) }
+            assertTrue(copies[0] in 1 until copies[1], "$copies")
+        }
+
+        @Test
+        fun `gets a new map after a jump of demand although the pauses do not show it yet`() {
+            val before = planned(even, even, pauses = pauses(60))
+            assertIs<KeeperStage.Settled>(before.stage)
+            val jumped = before.copy(demand = demandOf(steep, steep), plannedJumps = 0)
+            assertIs<KeeperStage.Preparing>(jumped.plan(now).state.stage)
+        }
+
+        private fun copiesOf(keeper: GroupKeeper): Int {
+            val before = GroupMap.initial(layers = 2, RANKS, EXPERTS)
+            val next = assertIs<KeeperStage.Preparing>(keeper.stage).map
+            return next.layers.indices.sumOf { layer ->
+                (0 until RANKS).sumOf { rank ->
+                    (next.layers[layer][rank] - before.layers[layer][rank].toSet()).size
+                }
+            }
+        }
+
+        private fun pauses(recentMillis: Int) = GroupPauses(
+            recent = recentMillis.milliseconds,
+            acceptable = 120.milliseconds,
+            fixed = 20.milliseconds
+        )
+    }
+
     /** Load pattern: one rank of a group takes several times its usual time for its work. */
     @Nested
     inner class AGroupWithASlowRank {
@@ -69,15 +114,20 @@
     private fun report(slowdown: Double) =
         RankReport(epoch = 1, isFormed = true, step = 1, mapVersion = 0, slowdown = slowdown)
 
+    private fun demandOf(vararg tokens: IntArray): GroupDemand {
+        val unknown = GroupDemand.unknown(tokens.size, EXPERTS)
+        return (1..2).fold(unknown) { known, _ ->
+            known.plus(tokens.toList(), now).endRound(400.milliseconds)
+        }
+    }
+
     private fun planned(
         vararg tokens: IntArray,
-        slowdowns: List<Double> = List(RANKS) { 1.0 }
+        slowdowns: List<Double> = List(RANKS) { 1.0 },
+        pauses: GroupPauses? = null
     ): GroupKeeper {
         val layers = tokens.size
-        val unknown = GroupDemand.unknown(layers, EXPERTS)
-        val demand = (1..2).fold(unknown) { known, _ ->
-            known.plus(tokens.toList(), now).endRound(400.milliseconds)
-        }
+        val demand = demandOf(*tokens)
         val keeper = GroupKeeper(
             group = "g",
             fence = 1,
@@ -102,7 +152,9 @@
                 rank to ReceivedReport(report(slowdown), now)
             }.toPersistentMap(),
             map = GroupMap.initial(layers, RANKS, EXPERTS),
-            demand = demand
+            demand = demand,
+            plannedJumps = demand.jumps,
+            pauses = pauses
         )
         return keeper.plan(now).state
     }
@@ -114,5 +166,8 @@
 
         /** The rank with expert 0 has 1.39 times the mean load. */
         val uneven = IntArray(EXPERTS) { if (it == 0) 220 else 100 }
+
+        /** The ranks with the first two experts have several times the load of the others. */
+        val steep = IntArray(EXPERTS) { if (it < 2) 900 else 100 }
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -12,11 +12,13 @@
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.expertmap.GroupKeeper
 import org.shallotplank.core.expertmap.GroupKeeperSettings
+import org.shallotplank.core.expertmap.GroupPauses
 import org.shallotplank.core.expertmap.KeeperStage
 import org.shallotplank.core.expertmap.OrderOutcome
 import org.shallotplank.core.gateway.GatewayState
 import org.shallotplank.core.gateway.GatewayUpstream
 import org.shallotplank.core.gateway.PlacementProfile
+import org.shallotplank.core.gateway.recentPauses
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
@@ -96,7 +98,7 @@
 
     /** Advances the keepers; at intervals also compares them with the leases and upstreams. */
     fun tick(now: Instant) {
-        running.values.forEach { it.tick(now) }
+        running.values.forEach { it.tick(now, pausesOf(it, now)) }
         if (now - checkedAt < CHECK_INTERVAL) return
         checkedAt = now
         val groups = knownGroups()
@@ -107,6 +109,13 @@
         port.keepOnly(running.values.flatMap { it.ranks.values }.toSet())
     }
 
+    private fun pausesOf(keeper: RunningKeeper, now: Instant): GroupPauses? {
+        val state = context.state()
+        val member = keeper.ranks.values.firstOrNull()?.id
+        val service = state.upstreams.values.find { it.record.id == member }?.record?.service
+        return service?.let { state.recentPauses(it, now) }
+    }
+
     private fun check(name: String, group: KnownGroup, now: Instant) {
         val row = context.replica().row(KEY_PREFIX + name)
         val lease = row?.let { decode(it.value) }?.let(::withAllowedDeputies)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
@@ -7,6 +7,7 @@
 import org.shallotplank.core.expertmap.GroupKeeper
 import org.shallotplank.core.expertmap.GroupKeeperEffect
 import org.shallotplank.core.expertmap.GroupKeeperEvent
+import org.shallotplank.core.expertmap.GroupPauses
 import org.shallotplank.core.expertmap.KeeperStage
 import org.shallotplank.core.expertmap.OrderOutcome
 import org.shallotplank.core.expertmap.RankOrder
@@ -64,8 +65,9 @@
         isEnded = true
     }
 
-    /** Sends [GroupKeeperEvent.Tick] to the reducer. */
-    fun tick(now: Instant) {
+    /** Sends [pauses], if they changed, and [GroupKeeperEvent.Tick] to the reducer. */
+    fun tick(now: Instant, pauses: GroupPauses?) {
+        if (pauses != state.pauses) reduce(GroupKeeperEvent.PausesObserved(pauses), now)
         reduce(GroupKeeperEvent.Tick, now)
     }
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -144,10 +144,10 @@
         fun `sends no more requests or orders when answers in flight arrive`() {
             val port = CountingPort().apply { mapVersion = 7 }
             val keeper = running(port)
-            keeper.tick(now)
+            keeper.tick(now, pauses = null)
             now += 200.milliseconds
             port.gate = CompletableDeferred()
-            keeper.tick(now)
+            keeper.tick(now, pauses = null)
             val calls = port.calls
 
             keeper.end()
