--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -245,6 +245,9 @@
  */
 private val OUTAGE_SILENCE = 500.milliseconds
 
-/** A restarted process serves within a second, and a group forms in about the same time. */
-private val MIN_OUTAGE_RETRY_AFTER = 600.milliseconds
+/**
+ * Minimum retry delay during an outage. Entries serve before the last engine is back, and the
+ * group of the engines forms up to a second after that.
+ */
+private val MIN_OUTAGE_RETRY_AFTER = 1_000.milliseconds
 private val OUTAGE_RETRY_AFTER_JITTER = 1_200.milliseconds
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayStartTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayStartTest.kt
@@ -125,7 +125,7 @@
                     ConnectFailure.REFUSED
                 )
                 val refusal = assertIs<GatewayEffect.Refuse>(emit(event).single())
-                assertTrue(assertNotNull(refusal.retryAfter) >= 600.milliseconds)
+                assertTrue(assertNotNull(refusal.retryAfter) >= 1.seconds)
                 now += 5.seconds
             }
         }
