--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -72,16 +72,8 @@
         return refuse(call, GatewayRefusal.QUARANTINED, QUARANTINE_RETRY_AFTER)
     }
     val startBy = startBy(call, context)
-    if (!hasUsableUpstream(call.service, context)) {
-        val firstPauseEndsAt = firstPauseEndsAt(call.service, context)
-        if (firstPauseEndsAt == null || firstPauseEndsAt > startBy) {
-            val reason = if (firstPauseEndsAt == null) {
-                GatewayRefusal.NO_UPSTREAM
-            } else {
-                GatewayRefusal.UPSTREAMS_PAUSED
-            }
-            return refuse(call, reason, retryAfterFor(call.service, context))
-        }
+    reasonNotToWait(call, startBy, context)?.let { reason ->
+        return refuse(call, reason, retryAfterFor(call.service, context))
     }
     val request = AdmissionRequest(
         id = call.request.id,
@@ -93,6 +85,18 @@
     return applyAdmission(call.service, queue.offer(request, context.now, context.random), context)
 }
 
+/** Why no upstream can take [call] by [startBy], null if one may. */
+private fun GatewayState.reasonNotToWait(
+    call: GatewayCall,
+    startBy: Instant,
+    context: GatewayContext
+): GatewayRefusal? {
+    if (hasUsableUpstream(call.service, context)) return null
+    val firstPauseEndsAt = firstPauseEndsAt(call.service, context)
+        ?: return GatewayRefusal.NO_UPSTREAM
+    return GatewayRefusal.UPSTREAMS_PAUSED.takeIf { firstPauseEndsAt > startBy }
+}
+
 /** Latest time at which starting [call] is still useful to its caller. */
 internal fun GatewayState.startBy(call: GatewayCall, context: GatewayContext): Instant =
     minOf(call.deadline, call.request.arrivedAt + maxWait(call, context))
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
@@ -125,11 +125,10 @@
         servingEntries = event.serving,
         upstreams = divided.mutate { map ->
             for ((key, upstream) in divided) {
-                val updated = upstream.copy(
-                    othersOutstanding = event.inFlight[key] ?: 0,
-                    slowdown = event.slowdowns[key.id] ?: 1.0
-                )
-                if (updated != upstream) map[key] = updated
+                val others = event.inFlight[key] ?: 0
+                val slowdown = event.slowdowns[key.id] ?: 1.0
+                if (others == upstream.othersOutstanding && slowdown == upstream.slowdown) continue
+                map[key] = upstream.copy(othersOutstanding = others, slowdown = slowdown)
             }
         }
     )
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -5,8 +5,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -14,37 +12,31 @@
 import kotlinx.serialization.json.Json
 import org.shallotplank.config.GatewayEntrySettings
 import org.shallotplank.core.Address
-import org.shallotplank.core.AttemptId
-import org.shallotplank.core.CustomerName
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.ZoneName
 import org.shallotplank.core.expertmap.OrderOutcome
 import org.shallotplank.core.gateway.EntryLocation
 import org.shallotplank.core.gateway.GatewayEvent
-import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
-import org.shallotplank.core.quarantine.CrashRecord
-import org.shallotplank.core.quarantine.Quarantine
-import org.shallotplank.core.quarantine.RequestFingerprint
 import org.shallotplank.gateway.group.GroupKeepers
 import org.shallotplank.gateway.group.KeeperCandidate
 import org.shallotplank.gateway.group.KeeperContext
-import org.shallotplank.gateway.group.LeaseConfirmation
 import org.shallotplank.gateway.group.LeaseGuard
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.group.confirmedAt
 import org.shallotplank.gateway.http.HttpClient
 import org.shallotplank.gateway.peer.DelegatedHold
-import org.shallotplank.gateway.peer.KnownCrash
 import org.shallotplank.gateway.peer.LeavingUpstream
 import org.shallotplank.gateway.peer.PeerReport
+import org.shallotplank.gateway.peer.PeerReports
 import org.shallotplank.gateway.peer.PeerRow
 import org.shallotplank.gateway.peer.PeerView
 import org.shallotplank.gateway.peer.Peers
 import org.shallotplank.gateway.peer.RowCopy
 import org.shallotplank.gateway.peer.SeenLease
+import org.shallotplank.gateway.peer.SharedCrashes
 import org.shallotplank.gateway.peer.SlowRank
 import org.shallotplank.gateway.peer.TableCopy
 import org.shallotplank.gateway.peer.UpstreamInFlight
@@ -100,7 +92,7 @@
     private lateinit var ranks: RankPort
     private var seeds = settings.seedAddresses.toSet()
     private var staleSince: Instant? = clock.now()
-    private val recentCrashes = LinkedHashMap<KnownCrash, Instant>()
+    private val crashes = SharedCrashes(clock) { exchanges.emit(GatewayEvent.CrashLearned(it)) }
 
     /** Locations of all registered entries, running or not. */
     private var entryLocations: List<EntryLocation> = emptyList()
@@ -143,7 +135,7 @@
         this.ranks = ranks
         keepers = GroupKeepers(keeperContext(), store, ranks, scope)
         registration = Registration(settings.instanceId.value, row, schema.entryTable, store)
-        exchanges.onCrash = ::onOwnCrash
+        exchanges.onCrash = crashes::add
         followers.values.forEach { follower -> scope.launch { follower.run() } }
         scope.launch { registration.keep(::entryReplica) { !exchanges.state.isStopping } }
         peers.pollOnly(seeds)
@@ -164,7 +156,7 @@
     /** Expires missing upstreams and crashes, updates readiness and advances the keepers. */
     fun tick(now: Instant) {
         if (upstreams.expire(now)) emitUpstreams()
-        recentCrashes.values.removeAll { now - it > CRASH_REPORT_PERIOD }
+        crashes.expire(now)
         updateReadiness(now)
         emitPeers()
         keepers.tick(now)
@@ -196,52 +188,37 @@
         get() = followers.getValue(schema.entryTable).answeredAt
 
     private fun leaseConfirmedAt(group: String): Instant {
-        val views = peers.alive.filter { it.report != null }.associateBy { it.report?.instance }
         val others = entryLocations.map { it.instance.value } - settings.instanceId.value
-        val confirmations = others.map { instance ->
-            val view = views[instance] ?: return@map null
-            LeaseConfirmation(
-                lastContactAt = view.lastContactAt,
-                term = view.report?.leases?.find { it.group == group }?.term,
-                storeAge = view.report?.leasesAgeMillis?.milliseconds
-            )
-        }
+        val confirmations = reports.confirmations(group, others)
         return confirmedAt(keepers.knownTerms[group], leasesReadAt, confirmations)
     }
 
     /** True if the candidate reports it, or if a later incarnation of its instance is known. */
     private fun hasRelinquished(candidate: KeeperCandidate, group: String): Boolean {
-        val hasLeft = peers.alive.mapNotNull { it.report }.any {
-            KeeperCandidate(it.instance, it.incarnation) == candidate && group in it.groupsLeft
-        }
-        if (hasLeft) return true
+        if (reports.hasLeft(candidate, group)) return true
         val registered = entryReplica().row(Registration.keyOf(candidate.instance))
             ?.let { decodeRow(it.value)?.incarnation }
-        val reported = peers.alive.mapNotNull { it.report }
-            .filter { it.instance == candidate.instance }
-            .map { it.incarnation }
         val own = environment.incarnation.takeIf {
             candidate.instance == settings.instanceId.value
         }
-        return (reported + listOfNotNull(registered, own)).any { it > candidate.incarnation }
+        return (reports.incarnationsOf(candidate.instance) + listOfNotNull(registered, own))
+            .any { it > candidate.incarnation }
     }
 
     private fun keeperCandidates(): List<KeeperCandidate> {
         val own = KeeperCandidate(settings.instanceId.value, environment.incarnation)
         val isServing = exchanges.state.isReady && !exchanges.state.isStopping
-        return listOfNotNull(own.takeIf { isServing }) + servingPeers()
+        return listOfNotNull(own.takeIf { isServing }) + reports.serving
             .map { KeeperCandidate(it.instance, it.incarnation) }
     }
 
-    private fun servingPeers(): List<PeerReport> = peers.alive
-        .mapNotNull { it.report }
-        .filter { it.isReady && !it.isStopping }
+    private val reports: PeerReports get() = PeerReports(peers.alive)
 
     /** Addresses of the entries that serve callers; this entry comes first if it serves. */
     fun servingEntries(): List<Address> {
         val isServing = exchanges.state.isReady && !exchanges.state.isStopping
         val own = listOfNotNull(settings.listenAddress.takeIf { isServing })
-        val others = servingPeers().mapNotNull { Address.parseOrNull(it.publicAddress) }
+        val others = reports.serving.mapNotNull { Address.parseOrNull(it.publicAddress) }
         return (own + others).distinct()
     }
 
@@ -261,11 +238,9 @@
      */
     private suspend fun delegateHold(hold: DelegatedHold): OrderOutcome {
         if (!settings.areFencesChecked) return OrderOutcome.NO_ANSWER
-        val peer = peers.alive
-            .filter { view -> view.report?.let { it.isReady && !it.isStopping } == true }
-            .randomOrNull(environment.random)
+        val peer = reports.servingAddresses.randomOrNull(environment.random)
             ?: return OrderOutcome.NO_ANSWER
-        return delegate(hold, peer.address, group)
+        return delegate(hold, peer, group)
     }
 
     /** The report that this entry sends to the others. */
@@ -279,7 +254,7 @@
         tableVersions = followers.mapValues { (_, follower) -> follower.replica.version },
         inFlight = exchanges.state.inFlight
             .map { (key, count) -> UpstreamInFlight(key.id.value, key.incarnation, count) },
-        crashes = recentCrashes.keys.toList(),
+        crashes = crashes.recent,
         leaving = exchanges.state.upstreams.values
             .filter { it.notice.isLeaving }
             .map { LeavingUpstream(it.record.id.value, it.record.incarnation) },
@@ -341,37 +316,25 @@
     }
 
     private fun emitPeers() {
-        val reports = peers.alive.mapNotNull { it.report }
-        val inFlight = reports.flatMap { it.inFlight }
-            .groupBy { UpstreamKey(InstanceId(it.id), it.incarnation) }
-            .mapValues { (_, counts) -> counts.sumOf { it.count } }
+        val reports = reports
         val own = EntryLocation(settings.instanceId, settings.zone)
-        val reported = reports.map { EntryLocation(InstanceId(it.instance), ZoneName(it.zone)) }
+        val reported = reports.all.map { EntryLocation(InstanceId(it.instance), ZoneName(it.zone)) }
         val entries = (entryLocations + reported + own).distinctBy { it.instance }
         exchanges.emit(
             GatewayEvent.PeersReported(
                 entryCount = entries.size,
-                inFlight = inFlight.toPersistentMap(),
+                inFlight = reports.inFlight,
                 entries = entries.toPersistentSet(),
-                serving = servingPeers().map { InstanceId(it.instance) }.toPersistentSet(),
-                leaving = reports.flatMap { it.leaving }
-                    .map { UpstreamKey(InstanceId(it.id), it.incarnation) }
-                    .toPersistentSet(),
-                slowdowns = reportedSlowdowns(reports)
+                serving = reports.serving.map { InstanceId(it.instance) }.toPersistentSet(),
+                leaving = reports.leaving,
+                slowdowns = reports.slowdowns.putAll(keepers.slowRanks)
             )
         )
     }
 
-    private fun reportedSlowdowns(reports: List<PeerReport>): PersistentMap<InstanceId, Double> {
-        val reported = reports.flatMap {
-            it.slowRanks
-        }.associate { InstanceId(it.id) to it.slowdown }
-        return (reported + keepers.slowRanks).toPersistentMap()
-    }
-
     private suspend fun onPeerReport(view: PeerView, client: HttpClient) {
         val report = view.report ?: return
-        report.crashes.forEach(::onPeerCrash)
+        report.crashes.forEach(crashes::learn)
         for ((table, version) in report.tableVersions) {
             val follower = followers[table] ?: continue
             val isAnswered = clock.now() - follower.answeredAt < STORE_STALENESS_BOUND
@@ -380,30 +343,6 @@
         }
     }
 
-    private fun onOwnCrash(record: CrashRecord) {
-        for (crash in record.crashes) {
-            val fingerprint = record.fingerprint
-            recentCrashes[
-                KnownCrash(
-                    fingerprint.customer.value,
-                    fingerprint.bodySha256,
-                    crash.attempt.value
-                )
-            ] =
-                clock.now()
-        }
-    }
-
-    /** Records [crash] as of its arrival, because processes have different monotonic clocks. */
-    private fun onPeerCrash(crash: KnownCrash) {
-        if (recentCrashes.put(crash, recentCrashes[crash] ?: clock.now()) != null) return
-        val fingerprint = RequestFingerprint(CustomerName(crash.customer), crash.bodySha256)
-        val record = Quarantine()
-            .crashed(fingerprint, AttemptId(crash.attempt), clock.now())
-            .records.getValue(fingerprint)
-        exchanges.emit(GatewayEvent.CrashLearned(record))
-    }
-
     private fun updateReadiness(now: Instant) {
         val since = staleSince ?: return
         val isComplete = followers.values.all { it.replica.version >= 0 }
@@ -458,6 +397,5 @@
 
         /** Time after which an entry serves with its current copies if the store is silent. */
         val REFRESH_TIMEOUT = 2.seconds
-        val CRASH_REPORT_PERIOD = 60.seconds
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/SharedCrashes.kt
@@ -0,0 +1,54 @@
+package org.shallotplank.gateway.peer
+
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import org.shallotplank.core.AttemptId
+import org.shallotplank.core.CustomerName
+import org.shallotplank.core.quarantine.CrashRecord
+import org.shallotplank.core.quarantine.Quarantine
+import org.shallotplank.core.quarantine.RequestFingerprint
+
+/** Crashes that requests recently caused, as this entry and the others report them. */
+internal class SharedCrashes(
+    private val clock: Clock,
+    /** Called with each crash that another entry reported first. */
+    private val onLearned: (CrashRecord) -> Unit
+) {
+    private val seenAt = LinkedHashMap<KnownCrash, Instant>()
+
+    /** Crashes to report to the other entries. */
+    val recent: List<KnownCrash> get() = seenAt.keys.toList()
+
+    /** Adds the crashes of [record], which this entry observed. */
+    fun add(record: CrashRecord) {
+        val fingerprint = record.fingerprint
+        for (crash in record.crashes) {
+            val known = KnownCrash(
+                fingerprint.customer.value,
+                fingerprint.bodySha256,
+                crash.attempt.value
+            )
+            seenAt[known] = clock.now()
+        }
+    }
+
+    /** Records [crash] as of its arrival, because processes have different monotonic clocks. */
+    fun learn(crash: KnownCrash) {
+        if (seenAt.put(crash, seenAt[crash] ?: clock.now()) != null) return
+        val fingerprint = RequestFingerprint(CustomerName(crash.customer), crash.bodySha256)
+        val record = Quarantine()
+            .crashed(fingerprint, AttemptId(crash.attempt), clock.now())
+            .records.getValue(fingerprint)
+        onLearned(record)
+    }
+
+    /** Drops the crashes that are no longer reported at [now]. */
+    fun expire(now: Instant) {
+        seenAt.values.removeAll { now - it > REPORT_PERIOD }
+    }
+
+    private companion object {
+        val REPORT_PERIOD = 60.seconds
+    }
+}
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/UpstreamNoticesTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/UpstreamNoticesTest.kt
@@ -57,6 +57,17 @@
             }
         )
 
+        @Test
+        fun `counts as leaving after a refusal, and not only as full for a moment`() {
+            val leaving = upstream { request, socket, _ ->
+                val extra = "X-Not-Run: 1\r\nX-Leaving: 1\r\n"
+                socket.send(answer(request, status = "503 Full", extra = extra))
+            }
+            val gateway = gateway(leaving)
+            gateway.exchange(request("safe"))
+            assertTrue(gateway.state.notices.values.single().isLeaving)
+        }
+
         @Test
         fun `announces it in the head of a stream`() = assertLeftAlone(
             upstream { request, socket, _ ->
@@ -156,12 +167,14 @@
 
         @Test
         fun `is not paused by Retry-After with a status other than 503`() {
-            val busy = upstream { request, socket, _ ->
-                socket.send(answer(request, status = "429 Busy", extra = "Retry-After: 60\r\n"))
+            for (status in listOf("429 Busy", "500 Failed", "502 Bad", "504 Late")) {
+                val busy = upstream { request, socket, _ ->
+                    socket.send(answer(request, status = status, extra = "Retry-After: 60\r\n"))
+                }
+                val gateway = gateway(busy)
+                repeat(3) { gateway.exchange(request("unsafe", attempt = "p$it")) }
+                assertEquals(3, busy.requests.size, status)
             }
-            val gateway = gateway(busy)
-            repeat(3) { gateway.exchange(request("unsafe", attempt = "p$it")) }
-            assertEquals(3, busy.requests.size)
         }
     }
 
