Place the pauses of streams beside the state of the entry that observes them

Cause: core.gateway depended on core.expertmap for one class, and the other way round already. A delegated hold that cannot be read left no log line at the entry that got it. Change: StreamPauses lies in core.gateway; an unreadable hold is logged (SP5017). No other behaviour changes.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -10,6 +10,7 @@
 import kotlinx.collections.immutable.persistentSetOf
 import org.shallotplank.core.Step
 import org.shallotplank.core.gateway.PlacementProfile
+import org.shallotplank.core.gateway.StreamPauses
 import org.shallotplank.core.log.LogRecord
 
 /** Next state of a [GroupKeeper] and the side effects that it requests. */
@@ -49,7 +50,7 @@
     val mapStep: Long = 0,
     val lastVersion: Long = 0,
     /** Pauses of the streams that the entry of this keeper serves, null if none were observed. */
-    val pauses: GroupPauses? = null,
+    val pauses: StreamPauses? = null,
     /**
      * Part of a pause that each unit of imbalance adds, null before it was observed.
      *
@@ -247,7 +248,7 @@
     ) : GroupKeeperEvent
 
     /** The entry observed pauses of the group's streams, or none for some time. */
-    public data class PausesObserved(val pauses: GroupPauses?) : GroupKeeperEvent
+    public data class PausesObserved(val pauses: StreamPauses?) : GroupKeeperEvent
 
     /** The periodic timer fired. */
     public data object Tick : GroupKeeperEvent
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/EventPauseEstimate.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/EventPauseEstimate.kt
@@ -9,7 +9,6 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import org.shallotplank.core.ServiceName
-import org.shallotplank.core.expertmap.GroupPauses
 
 /**
  * Estimates how much each running request adds to the pause between events of a service's streams.
@@ -93,13 +92,13 @@
 }
 
 /** Pauses of [service]'s streams as this entry last observed them, null without recent ones. */
-public fun GatewayState.recentPauses(service: ServiceName, now: Instant): GroupPauses? {
+public fun GatewayState.recentPauses(service: ServiceName, now: Instant): StreamPauses? {
     val estimate = pauseEstimates[service] ?: return null
     val recent = estimate.lastPause?.takeIf { now - estimate.lastPauseAt < RECENT_PAUSE_WINDOW }
     val engine = service(service)?.engine
     val acceptable = routesInForce.longestPauses[service]
     if (recent == null || engine == null || acceptable == null) return null
-    return GroupPauses(recent, acceptable, fixed = engine.stepTime * engine.eventStride)
+    return StreamPauses(recent, acceptable, fixed = engine.stepTime * engine.eventStride)
 }
 
 internal fun GatewayState.onPausesObserved(
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPauses.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/StreamPauses.kt
@@ -1,15 +1,15 @@
-package org.shallotplank.core.expertmap
+package org.shallotplank.core.gateway
 
 import kotlin.time.Duration
 
 /**
- * Pauses between the events of a group's streams.
+ * Pauses between the events of the streams that one rank group serves.
  *
  * @property recent a high quantile of the last pauses.
  * @property acceptable longest pause with which a stream is on time.
  * @property fixed part of each pause that depends neither on load nor on the map.
  */
-public data class GroupPauses(val recent: Duration, val acceptable: Duration, val fixed: Duration) {
+public data class StreamPauses(val recent: Duration, val acceptable: Duration, val fixed: Duration) {
     /** Pause up to which streams are on time with a margin for a rise of the load. */
     internal val calm: Duration get() = acceptable * CALM_SHARE
 
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupPlanningTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupPlanningTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.collections.immutable.toPersistentMap
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.gateway.PlacementProfile
+import org.shallotplank.core.gateway.StreamPauses
 
 /** Load pattern: demand for experts drifts a little all the time, and each copy slows its rank. */
 class GroupPlanningTest {
@@ -68,7 +69,7 @@
             }
         }
 
-        private fun pauses(recentMillis: Int) = GroupPauses(
+        private fun pauses(recentMillis: Int) = StreamPauses(
             recent = recentMillis.milliseconds,
             acceptable = 120.milliseconds,
             fixed = 20.milliseconds
@@ -124,7 +125,7 @@
     private fun planned(
         vararg tokens: IntArray,
         slowdowns: List<Double> = List(RANKS) { 1.0 },
-        pauses: GroupPauses? = null
+        pauses: StreamPauses? = null
     ): GroupKeeper {
         val layers = tokens.size
         val demand = demandOf(*tokens)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -227,7 +227,13 @@
 
     /** Sends the hold in [body] for another entry's keeper; [reply] gets null for a wrong body. */
     fun sendDelegatedHold(body: ByteArray, reply: (ByteArray?) -> Unit) {
-        scope.launch { reply(sendDelegated(body, ranks)) }
+        scope.launch {
+            val outcome = sendDelegated(body, ranks)
+            if (outcome == null) {
+                log(logRecord(LogEvent.STORE_ROW_UNREADABLE, "row" to "delegated hold"))
+            }
+            reply(outcome)
+        }
     }
 
     /**
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -12,12 +12,12 @@
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.expertmap.GroupKeeper
 import org.shallotplank.core.expertmap.GroupKeeperSettings
-import org.shallotplank.core.expertmap.GroupPauses
 import org.shallotplank.core.expertmap.KeeperStage
 import org.shallotplank.core.expertmap.OrderOutcome
 import org.shallotplank.core.gateway.GatewayState
 import org.shallotplank.core.gateway.GatewayUpstream
 import org.shallotplank.core.gateway.PlacementProfile
+import org.shallotplank.core.gateway.StreamPauses
 import org.shallotplank.core.gateway.recentPauses
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
@@ -109,7 +109,7 @@
         port.keepOnly(running.values.flatMap { it.ranks.values }.toSet())
     }
 
-    private fun pausesOf(keeper: RunningKeeper, now: Instant): GroupPauses? {
+    private fun pausesOf(keeper: RunningKeeper, now: Instant): StreamPauses? {
         val state = context.state()
         val member = keeper.ranks.values.firstOrNull()?.id
         val service = state.upstreams.values.find { it.record.id == member }?.record?.service
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
@@ -7,11 +7,11 @@
 import org.shallotplank.core.expertmap.GroupKeeper
 import org.shallotplank.core.expertmap.GroupKeeperEffect
 import org.shallotplank.core.expertmap.GroupKeeperEvent
-import org.shallotplank.core.expertmap.GroupPauses
 import org.shallotplank.core.expertmap.KeeperStage
 import org.shallotplank.core.expertmap.OrderOutcome
 import org.shallotplank.core.expertmap.RankOrder
 import org.shallotplank.core.expertmap.on
+import org.shallotplank.core.gateway.StreamPauses
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.gateway.peer.DelegatedHold
 
@@ -66,7 +66,7 @@
     }
 
     /** Sends [pauses], if they changed, and [GroupKeeperEvent.Tick] to the reducer. */
-    fun tick(now: Instant, pauses: GroupPauses?) {
+    fun tick(now: Instant, pauses: StreamPauses?) {
         if (pauses != state.pauses) reduce(GroupKeeperEvent.PausesObserved(pauses), now)
         reduce(GroupKeeperEvent.Tick, now)
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/DelegatedHold.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/DelegatedHold.kt
@@ -62,7 +62,7 @@
     return Cbor.encodeToByteArray(DelegatedOutcome(outcome))
 }
 
-/** Decodes [body], or returns null if another version of the program encoded it differently. */
+/** Decodes [body]; null if it cannot be read, which callers report as a failed order. */
 @OptIn(ExperimentalSerializationApi::class)
 private inline fun <reified T> decodeOrNull(body: ByteArray): T? = try {
     Cbor.decodeFromByteArray<T>(body)
