--- a/core/src/main/kotlin/org/shallotplank/core/gateway/StreamPauses.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/StreamPauses.kt
@@ -9,7 +9,11 @@
  * @property acceptable longest pause with which a stream is on time.
  * @property fixed part of each pause that depends neither on load nor on the map.
  */
-public data class StreamPauses(val recent: Duration, val acceptable: Duration, val fixed: Duration) {
+public data class StreamPauses(
+    val recent: Duration,
+    val acceptable: Duration,
+    val fixed: Duration
+) {
     /** Pause up to which streams are on time with a margin for a rise of the load. */
     internal val calm: Duration get() = acceptable * CALM_SHARE
 
