Name the parts of the simulated loads as they are used

Cause: reading it as a newcomer: a fault's count meant rounds in one place and ranks in another, the upstreams of services were called groups, the start of the virtual clock was a formula. Change: names and KDoc; load files say slow_rank.

--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionLoad.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionLoad.kt
@@ -87,9 +87,10 @@
     val returns: Int,
     val worth: Double,
     val lateShare: Double,
-    /** Mean prompt tokens and events of a stream, or milliseconds of work. */
+    /** Prompt tokens and events of a stream. */
     val prompt: SizeDistribution,
     val events: SizeDistribution,
+    /** Work of a request to a plain service. */
     val workMillis: SizeDistribution,
     /** Share of the requests that an upstream answers with its own failure. */
     val failedShare: Double
@@ -98,7 +99,11 @@
 /** Sizes around [mean] with the given relative [spread], at most [max]. */
 internal data class SizeDistribution(val mean: Double, val spread: Double, val max: Double)
 
-/** A fault at [at], which lasts [length]; [factor] is its strength. */
+/**
+ * A fault that begins at [at] and lasts [length]; [factor] is its strength.
+ *
+ * @property count how often it occurs, each time [gap] after the time before.
+ */
 internal data class LoadFault(
     val kind: LoadFaultKind,
     val at: Duration,
@@ -109,11 +114,11 @@
 )
 
 internal enum class LoadFaultKind {
-    /** Other experts are in demand; repeated [LoadFault.count] times. */
+    /** Other experts are in demand. */
     DEMAND_JUMP,
 
-    /** [LoadFault.count] ranks take [LoadFault.factor] times as long. */
-    SLOW_RANKS,
+    /** One rank of each group takes [LoadFault.factor] times as long. */
+    SLOW_RANK,
 
     /** A share [LoadFault.factor] of the answers of plain upstreams is lost. */
     ANSWERS_LOST,
--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionSimulation.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionSimulation.kt
@@ -8,6 +8,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
@@ -57,15 +58,15 @@
     policies: GatewayPolicies,
     seed: Long
 ) {
-    private val clock = VirtualClock(VirtualClock().start + 1.seconds * 1_000_000)
+    private val clock = VirtualClock(start = START)
     private val trafficRandom = Random(seed)
     private val policyRandom = Random(seed + 1)
-    private val groups = load.services.map { service ->
+    private val upstreams = load.services.map { service ->
         service.engine?.let { SimulatedRankGroup(service, it, clock) }
             ?: SimulatedPlainService(service, clock, Random(seed + 2))
     }
     private val sites = load.services.flatMapIndexed { index, service ->
-        sitesOf(service, groups[index])
+        sitesOf(service, upstreams[index])
     }.associateBy { UpstreamKey(it.listed.record.id, it.listed.record.incarnation) }
     private val listed = sites.values.map { it.listed }.toPersistentList()
     private val entries = load.zones.flatMapIndexed { zone, entry ->
@@ -199,19 +200,19 @@
         return minOf(size.mean * exp(sqrt(variance) * normal - variance / 2), size.max)
     }
 
-    private fun schedule(fault: LoadFault) = repeat(fault.count.coerceAtLeast(1)) { round ->
+    private fun schedule(fault: LoadFault) = repeat(fault.count) { round ->
         clock.after(fault.at + fault.gap * round) { strike(fault) }
     }
 
     private fun strike(fault: LoadFault) {
-        val rankGroups = groups.filterIsInstance<SimulatedRankGroup>()
-        val plain = groups.filterIsInstance<SimulatedPlainService>()
+        val rankGroups = upstreams.filterIsInstance<SimulatedRankGroup>()
+        val plain = upstreams.filterIsInstance<SimulatedPlainService>()
         when (fault.kind) {
             LoadFaultKind.DEMAND_JUMP -> rankGroups.forEach { it.jumpDemand() }
-            LoadFaultKind.SLOW_RANKS -> {
-                rankGroups.forEach { it.setSlowdown(rankCount = 1, fault.factor) }
+            LoadFaultKind.SLOW_RANK -> {
+                rankGroups.forEach { it.slowDownOneRank(fault.factor) }
                 clock.after(fault.length) {
-                    rankGroups.forEach { it.setSlowdown(rankCount = 1, slowdown = 1.0) }
+                    rankGroups.forEach { it.slowDownOneRank(slowdown = 1.0) }
                 }
             }
             LoadFaultKind.ANSWERS_LOST -> {
@@ -220,7 +221,7 @@
             }
             LoadFaultKind.BURST -> Unit
             LoadFaultKind.POWER_LOSS -> {
-                groups.forEach { it.losePower(fault.length) }
+                upstreams.forEach { it.losePower(fault.length) }
                 entries.forEach { entry ->
                     entry.losePower()
                     clock.after(fault.length) { entry.start(listed) }
@@ -305,6 +306,10 @@
     }
 
     private companion object {
+        /** Later than any time that the reducer subtracts from the present. */
+        val START = Instant.fromEpochSeconds(1_000_000)
+
+        /** Covers the deadline of every request that arrived before the end. */
         val DRAIN_TIME = 10.seconds
         val FAILURE_DELAY = 50.milliseconds
         const val FIRST_FAILURE_STATUS = 500
--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/SimulatedUpstreams.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/SimulatedUpstreams.kt
@@ -53,7 +53,7 @@
     }
 
     private val ranks = List(service.upstreamsPerZone.sum()) { Rank() }
-    private var isRunning = false
+    private var isPassRunning = false
     private var isDown = false
     private var incarnation = 0
     private var jumpedAt: Instant = Instant.DISTANT_PAST
@@ -62,8 +62,10 @@
         jumpedAt = clock.now
     }
 
-    fun setSlowdown(rankCount: Int, slowdown: Double): Unit =
-        ranks.take(rankCount).forEach { it.slowdown = slowdown }
+    /** Makes the first rank take [slowdown] times as long for all its work. */
+    fun slowDownOneRank(slowdown: Double) {
+        ranks.first().slowdown = slowdown
+    }
 
     override fun accept(upstream: Int, work: SimulatedWork): Boolean {
         val rank = ranks[upstream]
@@ -78,7 +80,7 @@
     override fun losePower(downTime: Duration) {
         isDown = true
         incarnation++
-        isRunning = false
+        isPassRunning = false
         val lost = ranks.flatMap { it.running + it.queued }
         ranks.forEach {
             it.running.clear()
@@ -89,7 +91,7 @@
     }
 
     private fun startPass() {
-        if (isRunning) return
+        if (isPassRunning) return
         for (rank in ranks) {
             rank.running.removeAll { it.isCancelled }
             rank.queued.removeAll { it.isCancelled }
@@ -98,7 +100,7 @@
             }
         }
         if (ranks.all { it.running.isEmpty() }) return
-        isRunning = true
+        isPassRunning = true
         val current = incarnation
         val hasWriters = ranks.any { rank -> rank.running.any { it.promptTokensLeft <= 0 } }
         val steps = if (hasWriters) engine.stride else 1
@@ -131,7 +133,7 @@
         if (clock.now - jumpedAt < engine.adaptTime) engine.jumpImbalance else engine.usualImbalance
 
     private fun endPass() {
-        isRunning = false
+        isPassRunning = false
         for (rank in ranks) {
             var readable = engine.chunkTokens.toDouble() * engine.stride
             val writers = rank.running.filter { it.promptTokensLeft <= 0 }
