--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
@@ -44,8 +44,7 @@
 private fun GroupKeeper.planFrom(search: MapSearch): MapPlan? {
     val calmImbalance = calmImbalance
     if (calmImbalance != null && search.imbalance <= calmImbalance) return null
-    val goal = (calmImbalance ?: GOAL_IMBALANCE).coerceIn(GOAL_IMBALANCE, TRIGGER_IMBALANCE)
-    return search.plan(goal)?.takeIf { it.imbalanceBefore >= MIN_MEAN_IMBALANCE }
+    return search.plan()?.takeIf { it.imbalanceBefore >= MIN_MEAN_IMBALANCE }
 }
 
 /** Copy time of the rank that must copy the most experts for [next]. */
@@ -93,8 +92,7 @@
 
     val imbalance: Double = MapPlanner(settings).imbalance(map, popularity, speeds)
 
-    fun plan(goalImbalance: Double): MapPlan? =
-        MapPlanner(settings.copy(goalImbalance = goalImbalance)).plan(map, popularity, speeds)
+    fun plan(): MapPlan? = MapPlanner(settings).plan(map, popularity, speeds)
 }
 
 /**
@@ -109,7 +107,7 @@
  */
 private const val MIN_MEAN_IMBALANCE = 1.25
 
-/** Lowest imbalance at which the improvement of a layer stops. */
+/** Imbalance at which the improvement of a layer stops. */
 private const val GOAL_IMBALANCE = 1.06
 
 /**
