Log which requests and prompt parts were at an upstream that crashed

SP5009 now names the attempts, the request digests and the shared prompt parts of the suspects, and SP5023 is written for each crash that another entry reports first, with the verdict on its request. Entries read the parts of a prompt from its header for this; nothing is decided by them yet.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
@@ -8,6 +8,7 @@
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.RequestId
 import org.shallotplank.core.ServiceName
+import org.shallotplank.core.quarantine.PromptPart
 
 /**
  * A request that was read completely, as the reducer sees it.
@@ -15,6 +16,7 @@
  * @property attemptId id that the caller gave this attempt, for the logs.
  * @property timeLeft time for which the caller waits, null if it did not state one.
  * @property bodySha256 digest of method, path and body, under which crashes are counted.
+ * @property sharedParts parts of its prompt that other requests may have in common with it.
  */
 public data class GatewayRequest(
     val id: RequestId,
@@ -24,7 +26,8 @@
     val credential: String?,
     val timeLeft: Duration?,
     val bodySha256: String,
-    val arrivedAt: Instant
+    val arrivedAt: Instant,
+    val sharedParts: PersistentSet<PromptPart> = persistentSetOf()
 )
 
 /** A request that the entry accepted and has not yet answered. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -9,7 +9,9 @@
 import org.shallotplank.core.Step
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.logRecord
+import org.shallotplank.core.quarantine.CrashRecord
 import org.shallotplank.core.quarantine.QuarantineVerdict
+import org.shallotplank.core.quarantine.RequestFingerprint
 import org.shallotplank.core.then
 
 /** Returns call [id] and its sent phase if [attempt] is its open attempt, otherwise null. */
@@ -144,8 +146,12 @@
     val record = attemptFailedRecord(open, cause.name.lowercase(), context.now)
     val call = open.callWithoutAttempt().copy(mayHaveRun = true)
     val isLost = cause == AttemptFailure.CONNECTION_LOST
-    val suspect =
-        Suspect(call.fingerprint, AttemptId("${call.request.id}.${open.sent.attempt}"), context.now)
+    val suspect = Suspect(
+        fingerprint = call.fingerprint,
+        attempt = AttemptId("${call.request.id}.${open.sent.attempt}"),
+        at = context.now,
+        sharedParts = call.request.sharedParts
+    )
     val marked = put(call).update(open.sent.upstream) {
         val failed = it.ended().failed(context.now)
         if (isLost) failed.copy(suspects = failed.suspects.add(suspect)) else failed
@@ -201,7 +207,10 @@
     val record = logRecord(
         LogEvent.GATEWAY_UPSTREAM_CRASHED,
         "upstream" to key,
-        "suspects" to recent.size
+        "suspects" to recent.size,
+        "attempts" to recent.joinToString(",") { it.attempt.value },
+        "request_digests" to recent.map { it.fingerprint.logged }.distinct().joinToString(","),
+        "prompt_parts" to recent.flatMap { it.sharedParts }.distinct().joinToString(",")
     )
     val cleared = copy(quarantine = updatedQuarantine)
         .put(upstream.failed(now).copy(suspects = upstream.suspects.clear()))
@@ -211,6 +220,21 @@
     )
 }
 
+internal fun GatewayState.onCrashLearned(record: CrashRecord, now: Instant): GatewayStep {
+    val merged = quarantine.merge(record)
+    val line = logRecord(
+        LogEvent.GATEWAY_CRASH_LEARNED,
+        "attempts" to record.crashes.joinToString(",") { it.attempt.value },
+        "customer" to record.fingerprint.customer,
+        "request_digest" to record.fingerprint.logged,
+        "verdict" to merged.verdict(record.fingerprint, now)
+    )
+    return copy(quarantine = merged).logged(line)
+}
+
+/** Start of the digest, which tells requests apart in a log line. */
+private val RequestFingerprint.logged: String get() = bodySha256.take(LOGGED_DIGEST_LENGTH)
+
 private fun GatewayState.isRetryAllowed(call: GatewayCall, context: GatewayContext): Boolean =
     call.attemptsSent < call.route.maxAttempts &&
         call.deadline - context.now > MIN_RETRY_TIME_LEFT &&
@@ -260,6 +284,7 @@
 private val upstreamFailures = setOf(ConnectFailure.REFUSED, ConnectFailure.TIMED_OUT)
 
 private const val STATUS_SERVER_ERROR = 500
+private const val LOGGED_DIGEST_LENGTH = 12
 private const val MAX_CONNECT_FAILURES = 3
 
 /** A full upstream has a free slot again after about one interval between stream events. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
@@ -32,7 +32,7 @@
         is GatewayEvent.EvacuationsChanged -> onEvacuationsChanged(event.zones, context)
         is GatewayEvent.PeersReported -> onPeersReported(event, context)
         is GatewayEvent.PausesObserved -> onPausesObserved(event.pauses, context)
-        is GatewayEvent.CrashLearned -> Step(copy(quarantine = quarantine.merge(event.record)))
+        is GatewayEvent.CrashLearned -> onCrashLearned(event.record, now)
         is GatewayEvent.ReadinessChanged ->
             onReadinessChanged(event.isReady, context)
         is GatewayEvent.SettingsChanged -> Step(copy(settings = event.settings))
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
@@ -10,6 +10,7 @@
 import kotlinx.collections.immutable.persistentSetOf
 import org.shallotplank.core.Address
 import org.shallotplank.core.AttemptId
+import org.shallotplank.core.quarantine.PromptPart
 import org.shallotplank.core.quarantine.RequestFingerprint
 
 /**
@@ -143,5 +144,6 @@
 public data class Suspect(
     val fingerprint: RequestFingerprint,
     val attempt: AttemptId,
-    val at: Instant
+    val at: Instant,
+    val sharedParts: PersistentSet<PromptPart> = persistentSetOf()
 )
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -28,6 +28,7 @@
 import org.shallotplank.gateway.caller.CallerListener
 import org.shallotplank.gateway.caller.CallerMessage
 import org.shallotplank.gateway.caller.CallerServer
+import org.shallotplank.gateway.caller.sharedPartsOf
 import org.shallotplank.gateway.upstream.AttemptContext
 import org.shallotplank.gateway.upstream.UpstreamAttempt
 import org.shallotplank.gateway.upstream.UpstreamConnection
@@ -165,7 +166,8 @@
                 ?.toLongOrNull()
                 ?.milliseconds,
             bodySha256 = digestOf(message),
-            arrivedAt = now
+            arrivedAt = now,
+            sharedParts = sharedPartsOf(message.headers.getAll(headers.promptParts))
         )
         emit(GatewayEvent.Arrived(request))
     }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
@@ -46,7 +46,8 @@
     leaving = "X-Leaving",
     pauseSeconds = "Retry-After",
     signature = "X-Stamp",
-    lastEventId = "Last-Event-Id"
+    lastEventId = "Last-Event-Id",
+    promptParts = "X-Prompt"
 )
 
 /** The exchanges of one gateway entry on loopback, in front of scripted upstreams. */
