Add a failing test for prompts with one part that crashes engines

Requests that share one prompt part and nothing else, each of which crashes the engine that begins it, keep reaching engines: 20 of 20 after the fifth crash, where three are allowed. The quarantine counts crashes by customer and digest of the whole request.

The second test guards the other side, sound requests that share the other parts; it passes now and has to pass with the mended quarantine.

--- /dev/null
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/CrashingPromptPartTest.kt
@@ -0,0 +1,90 @@
+package org.shallotplank.core.gateway
+
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.toPersistentList
+import org.junit.jupiter.api.Nested
+
+/** Guards against requests, no two alike, of which one prompt part crashes engine after engine. */
+class CrashingPromptPartTest : GatewayReducerFixture() {
+    private var engines = List(12) { listedUpstream("%02d".format(it), slots = 8) }
+    private var requests = 0
+    private var restarts = 1L
+
+    @Nested
+    inner class RequestsWithAPartThatCrashesEngines {
+        @Test
+        fun `reach at most three more engines once the part has crashed five`() {
+            serve(*engines.toTypedArray())
+            repeat(20) { assertTrue(answerSoundRequest()) }
+            repeat(5) {
+                sendCrashing()
+                now += 1.seconds
+            }
+            now += 3.seconds
+            val sent = (1..20).count {
+                now += 500.milliseconds
+                sendCrashing()
+            }
+            assertTrue(sent <= 3, "$sent requests reached an engine")
+        }
+
+        @Test
+        fun `do not keep sound requests that share their other parts from being served`() {
+            serve(*engines.toTypedArray())
+            repeat(20) { assertTrue(answerSoundRequest()) }
+            repeat(8) {
+                sendCrashing()
+                now += 1.seconds
+            }
+            now += 6.seconds
+            repeat(20) {
+                sendCrashing()
+                assertTrue(answerSoundRequest(), "sound request $it was refused")
+            }
+        }
+    }
+
+    /** Sends a request with the crashing part; whether an engine got it, which then crashed. */
+    private fun sendCrashing(): Boolean {
+        val effect = arrive(setOf("instructions", "subject-${requests % 3}", "crashing"))
+        if (effect !is GatewayEffect.Send) return false
+        now += 80.milliseconds
+        emit(
+            GatewayEvent.AttemptLost(
+                effect.requestId,
+                effect.attempt,
+                AttemptFailure.CONNECTION_LOST
+            )
+        )
+        emit(GatewayEvent.UpstreamCrashed(effect.upstream))
+        restart(effect.upstream)
+        return true
+    }
+
+    private fun restart(engine: UpstreamKey) {
+        engines = engines.map { listed ->
+            val isCrashed = listed.record.id == engine.id
+            if (isCrashed) listedUpstream(engine.id.value, incarnation = ++restarts) else listed
+        }
+        emit(GatewayEvent.UpstreamsListed(engines.toPersistentList()))
+    }
+
+    /** Sends and answers a request without the crashing part; whether an engine got it. */
+    private fun answerSoundRequest(): Boolean {
+        val effect = arrive(setOf("instructions", "subject-${requests % 3}"))
+        if (effect !is GatewayEffect.Send) return false
+        emit(GatewayEvent.AnswerBegun(effect.requestId, effect.attempt))
+        now += 400.milliseconds
+        emit(GatewayEvent.Tick)
+        emit(GatewayEvent.AnswerEnded(effect.requestId, effect.attempt, status = 200))
+        return true
+    }
+
+    private fun arrive(parts: Set<String>): GatewayEffect {
+        val id = "r${requests++}"
+        return emit(arrival(id, RequestKind.UNSAFE, now, parts = parts)).first()
+    }
+}
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayFixture.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayFixture.kt
@@ -7,12 +7,14 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
 import org.shallotplank.core.Address
 import org.shallotplank.core.ConfigurationVersion
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.RequestId
 import org.shallotplank.core.ServiceName
 import org.shallotplank.core.ZoneName
+import org.shallotplank.core.quarantine.PromptPart
 
 internal val startOfTest = Instant.fromEpochMilliseconds(1_000_000)
 internal val testService = ServiceName("s")
@@ -75,7 +77,8 @@
     now: Instant,
     timeLeft: Duration = 3.seconds,
     prefix: String = "/${kind.name.lowercase()}/",
-    digest: String = id
+    digest: String = id,
+    parts: Set<String> = emptySet()
 ) = GatewayEvent.Arrived(
     GatewayRequest(
         id = RequestId(id),
@@ -85,6 +88,7 @@
         credential = null,
         timeLeft = timeLeft,
         bodySha256 = digest,
-        arrivedAt = now
+        arrivedAt = now,
+        sharedParts = parts.map(::PromptPart).toPersistentSet()
     )
 )
