Refuse requests with a prompt part that crashes upstreams

Cause: the quarantine counted crashes by customer and digest of the whole request. The class of fault is a limit that is counted under a key which the harmful requests do not share.

A crash now also counts against every shared part of the prompts that were lost in it. Answers clear parts: the parts of sound requests are answered again and again, those of the harmful one never. Of the parts that explain the same crashes only the one that explains most is refused, so that callers who share the instructions or the subject are still served. A stream clears its parts once it has been delivered for 250 ms, since a crash elsewhere in the group breaks most streams off before their end. Crashes at the same time count once, as a machine or zone that goes down loses many requests.

The same cause elsewhere: requests that had been admitted or were waiting when their quarantine began were sent all the same, since only arrivals were checked; now each dispatch checks, and waiting ones are refused at once. A crash that cuts the connection within a head or a chunk was not attributed, as its cause is 'garbled'; only silence is left out now.

PeerCompatibilityTest decodes both ways.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -1,7 +1,6 @@
 package org.shallotplank.core.gateway
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.collections.immutable.persistentListOf
@@ -13,8 +12,6 @@
 import org.shallotplank.core.config.Priority
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.logRecord
-import org.shallotplank.core.quarantine.QuarantineVerdict
-import org.shallotplank.core.quarantine.RequestFingerprint
 import org.shallotplank.core.then
 
 internal fun GatewayState.onArrived(request: GatewayRequest, context: GatewayContext): GatewayStep {
@@ -67,8 +64,7 @@
 ): Boolean = upstreamsOf(service).any { isInService(it) && it.isUsable(context.now) }
 
 private fun GatewayState.admit(call: GatewayCall, context: GatewayContext): GatewayStep {
-    val verdict = quarantine.verdict(call.fingerprint, context.now)
-    if (verdict == QuarantineVerdict.QUARANTINED) {
+    if (isQuarantined(call, context.now)) {
         return refuse(call, GatewayRefusal.QUARANTINED, QUARANTINE_RETRY_AFTER)
     }
     val startBy = startBy(call, context)
@@ -155,10 +151,6 @@
     return cancelAttempt(call).then { it.logged(record) }.then { it.release(call, context) }
 }
 
-/** Key under which the quarantine counts crashes of upstreams that ran this request. */
-internal val GatewayCall.fingerprint: RequestFingerprint
-    get() = RequestFingerprint(customer ?: ANONYMOUS, request.bodySha256)
-
 internal const val STATUS_UNAUTHORIZED = 401
 internal const val STATUS_NOT_FOUND = 404
 internal const val STATUS_BAD_GATEWAY = 502
@@ -188,6 +180,3 @@
  * shorter than the delay before a caller's retry.
  */
 internal const val START_WAIT_SHARE = 0.25
-
-/** Long, since waiting does not make a request that crashed upstreams more likely to succeed. */
-private val QUARANTINE_RETRY_AFTER = 60_000.milliseconds
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
@@ -59,8 +59,15 @@
     public data object Queued : GatewayPhase
 
     /** An attempt was sent to [upstream] and has not ended. */
-    public data class Sent(val attempt: Int, val upstream: UpstreamKey, val sentAt: Instant) :
-        GatewayPhase
+    public data class Sent(
+        val attempt: Int,
+        val upstream: UpstreamKey,
+        val sentAt: Instant,
+        /** When the answer to the caller began with this attempt, null if it has not. */
+        val begunAt: Instant? = null,
+        /** Whether the answer has continued long enough to clear the parts of the prompt. */
+        val isProven: Boolean = false
+    ) : GatewayPhase
 }
 
 /** One incarnation of an upstream. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -85,6 +85,9 @@
     context: GatewayContext,
     lastReason: GatewayRefusal = GatewayRefusal.NO_UPSTREAM
 ): GatewayStep {
+    if (isQuarantined(call, context.now)) {
+        return endWithoutAnswer(call, GatewayRefusal.QUARANTINED, context)
+    }
     val chosen = chooseUpstream(call, context)
         ?: return endWithoutAnswer(call, lastReason, context)
     val service = service(call.service)
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -22,7 +22,11 @@
     val ended = if (call.isAnswerBegun) {
         cut(call, reason)
     } else {
-        val retryAfter = retryAfterFor(call.service, context).takeIf { !call.mayHaveRun }
+        val suggested = when (reason) {
+            GatewayRefusal.QUARANTINED -> QUARANTINE_RETRY_AFTER
+            else -> retryAfterFor(call.service, context)
+        }
+        val retryAfter = suggested.takeIf { !call.mayHaveRun }
         val isWaiting = queues[call.service]?.isWaiting(call.request.id) == true
         refuse(call, reason, retryAfter, isAdmitted = !isWaiting)
     }
@@ -107,7 +111,10 @@
     val ended = overdue.fold(GatewayStep(this)) { step, call ->
         step.then { it.endOverdue(call, context) }
     }
-    return ended.then { it.expireEarlyRequests(context) }.then { it.resizeQueues(context) }
+    return ended.then { it.clearDeliveredParts(context) }
+        .then { it.expirePartQuarantine(context.now) }
+        .then { it.expireEarlyRequests(context) }
+        .then { it.resizeQueues(context) }
 }
 
 private fun slackOf(call: GatewayCall): Duration =
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -11,6 +11,7 @@
 import org.shallotplank.core.ServiceName
 import org.shallotplank.core.ZoneName
 import org.shallotplank.core.quarantine.CrashRecord
+import org.shallotplank.core.quarantine.PromptCrash
 
 /** Events that the reducer of a gateway entry handles. */
 public sealed interface GatewayEvent {
@@ -116,6 +117,10 @@
     /** Another entry reported crashes that a request caused. */
     public data class CrashLearned(val record: CrashRecord) : GatewayEvent
 
+    /** Another entry reported crashes and the prompt parts that may have caused them. */
+    public data class PromptCrashesLearned(val crashes: PersistentList<PromptCrash>) :
+        GatewayEvent
+
     /** A high quantile of the recent pauses between stream events, by service. */
     public data class PausesObserved(val pauses: PersistentMap<ServiceName, Duration>) :
         GatewayEvent
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -9,9 +9,6 @@
 import org.shallotplank.core.Step
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.logRecord
-import org.shallotplank.core.quarantine.CrashRecord
-import org.shallotplank.core.quarantine.QuarantineVerdict
-import org.shallotplank.core.quarantine.RequestFingerprint
 import org.shallotplank.core.then
 
 /** Returns call [id] and its sent phase if [attempt] is its open attempt, otherwise null. */
@@ -82,9 +79,12 @@
     }
 }
 
-internal fun GatewayState.onAnswerBegun(event: GatewayEvent.AnswerBegun): GatewayState {
+internal fun GatewayState.onAnswerBegun(
+    event: GatewayEvent.AnswerBegun,
+    now: Instant
+): GatewayState {
     val open = open(event.requestId, event.attempt) ?: return this
-    return put(open.call.copy(isAnswerBegun = true))
+    return put(open.call.copy(isAnswerBegun = true, phase = open.sent.copy(begunAt = now)))
 }
 
 internal fun GatewayState.onAnswerHeld(
@@ -124,9 +124,9 @@
         "longest_pause_ms" to event.longestPause?.inWholeMilliseconds,
         "age_ms" to (context.now - call.request.arrivedAt).inWholeMilliseconds
     )
-    val cleared = copy(quarantine = quarantine.answered(call.fingerprint, context.now))
-    return cleared.update(open.sent.upstream) { it.answerCompleted(context.now) }
+    return update(open.sent.upstream) { it.answerCompleted(context.now) }
         .logged(record)
+        .then { it.withAnswered(call, event.status, context.now) }
         .then { it.release(call, context) }
 }
 
@@ -145,14 +145,16 @@
 ): GatewayStep {
     val record = attemptFailedRecord(open, cause.name.lowercase(), context.now)
     val call = open.callWithoutAttempt().copy(mayHaveRun = true)
-    val isLost = cause == AttemptFailure.CONNECTION_LOST
+    // A crash may cut the connection in the middle of a head or chunk.
+    val isLost = cause != AttemptFailure.SILENT
     val suspect = Suspect(
         fingerprint = call.fingerprint,
         attempt = AttemptId("${call.request.id}.${open.sent.attempt}"),
         at = context.now,
         sharedParts = call.request.sharedParts
     )
-    val marked = put(call).update(open.sent.upstream) {
+    val counted = copy(partQuarantine = partQuarantine.ran(call.request.sharedParts))
+    val marked = counted.put(call).update(open.sent.upstream) {
         val failed = it.ended().failed(context.now)
         if (isLost) failed.copy(suspects = failed.suspects.add(suspect)) else failed
     }
@@ -196,50 +198,11 @@
         .then { it.attemptLost(open, AttemptFailure.SILENT, context) }
 }
 
-internal fun GatewayState.onUpstreamCrashed(key: UpstreamKey, now: Instant): GatewayStep {
-    val upstream = upstreams[key] ?: return Step(this)
-    val recent = upstream.suspects.filter { now - it.at < CRASH_ATTRIBUTION_WINDOW }
-    val updatedQuarantine = recent.fold(quarantine) { known, suspect ->
-        known.crashed(suspect.fingerprint, suspect.attempt, now)
-    }
-    val shared = recent.mapNotNull { updatedQuarantine.records[it.fingerprint] }.distinct()
-        .map { GatewayEffect.ShareCrash(it) }
-    val record = logRecord(
-        LogEvent.GATEWAY_UPSTREAM_CRASHED,
-        "upstream" to key,
-        "suspects" to recent.size,
-        "attempts" to recent.joinToString(",") { it.attempt.value },
-        "request_digests" to recent.map { it.fingerprint.logged }.distinct().joinToString(","),
-        "prompt_parts" to recent.flatMap { it.sharedParts }.distinct().joinToString(",")
-    )
-    val cleared = copy(quarantine = updatedQuarantine)
-        .put(upstream.failed(now).copy(suspects = upstream.suspects.clear()))
-    return Step(
-        cleared,
-        (shared + GatewayEffect.Log(record)).toPersistentList()
-    )
-}
-
-internal fun GatewayState.onCrashLearned(record: CrashRecord, now: Instant): GatewayStep {
-    val merged = quarantine.merge(record)
-    val line = logRecord(
-        LogEvent.GATEWAY_CRASH_LEARNED,
-        "attempts" to record.crashes.joinToString(",") { it.attempt.value },
-        "customer" to record.fingerprint.customer,
-        "request_digest" to record.fingerprint.logged,
-        "verdict" to merged.verdict(record.fingerprint, now)
-    )
-    return copy(quarantine = merged).logged(line)
-}
-
-/** Start of the digest, which tells requests apart in a log line. */
-private val RequestFingerprint.logged: String get() = bodySha256.take(LOGGED_DIGEST_LENGTH)
-
 private fun GatewayState.isRetryAllowed(call: GatewayCall, context: GatewayContext): Boolean =
     call.attemptsSent < call.route.maxAttempts &&
         call.deadline - context.now > MIN_RETRY_TIME_LEFT &&
         mayRetry(call.service, context.now) &&
-        quarantine.verdict(call.fingerprint, context.now) != QuarantineVerdict.QUARANTINED
+        !isQuarantined(call, context.now)
 
 /**
  * Retries a call if that is safe and allowed, and otherwise ends it without an answer.
@@ -284,7 +247,6 @@
 private val upstreamFailures = setOf(ConnectFailure.REFUSED, ConnectFailure.TIMED_OUT)
 
 private const val STATUS_SERVER_ERROR = 500
-private const val LOGGED_DIGEST_LENGTH = 12
 private const val MAX_CONNECT_FAILURES = 3
 
 /** A full upstream has a free slot again after about one interval between stream events. */
@@ -305,6 +267,3 @@
 
 /** Minimum time to the deadline for a retry; less is not enough for another attempt. */
 private val MIN_RETRY_TIME_LEFT = 30.milliseconds
-
-/** A crash detected within this time after an attempt was lost is attributed to its request. */
-private val CRASH_ATTRIBUTION_WINDOW = 1_500.milliseconds
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
@@ -14,6 +14,7 @@
 import org.shallotplank.core.ZoneName
 import org.shallotplank.core.admission.AdmissionQueue
 import org.shallotplank.core.log.LogRecord
+import org.shallotplank.core.quarantine.PartQuarantine
 import org.shallotplank.core.quarantine.Quarantine
 
 /** Next state of a gateway entry and the side effects that it requests. */
@@ -46,6 +47,7 @@
     val retries: PersistentMap<ServiceName, RetryWindow> = persistentMapOf(),
     val pauseEstimates: PersistentMap<ServiceName, EventPauseEstimate> = persistentMapOf(),
     val quarantine: Quarantine = Quarantine(),
+    val partQuarantine: PartQuarantine = PartQuarantine(),
     val entryCount: Int = 1,
     val entries: PersistentSet<EntryLocation> = persistentSetOf(),
     val servingEntries: PersistentSet<InstanceId> = persistentSetOf(),
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/CrashingPromptPartTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/CrashingPromptPartTest.kt
@@ -1,11 +1,19 @@
 package org.shallotplank.core.gateway
 
 import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import org.junit.jupiter.api.Nested
+import org.shallotplank.core.quarantine.PromptCrash
+import org.shallotplank.core.quarantine.PromptPart
 
 /** Guards against requests, no two alike, of which one prompt part crashes engine after engine. */
 class CrashingPromptPartTest : GatewayReducerFixture() {
@@ -47,6 +55,32 @@
         }
     }
 
+    @Nested
+    inner class CrashesThatOtherEntriesSaw {
+        @Test
+        fun `add up with those that this entry saw`() {
+            serve(*engines.toTypedArray())
+            emit(GatewayEvent.PromptCrashesLearned(persistentListOf(crash("other@1", 4.seconds))))
+            assertTrue(sendCrashing())
+            assertFalse(sendCrashing())
+        }
+
+        @Test
+        fun `also end the requests that wait for a slot`() {
+            serve(listedUpstream("u", slots = 1))
+            arrive(setOf("instructions"))
+            arrive(setOf("instructions", "crashing"))
+            val crashes = persistentListOf(crash("a@1", 4.seconds), crash("b@1", 0.seconds))
+            val ended = emit(GatewayEvent.PromptCrashesLearned(crashes))
+            val refusal = assertIs<GatewayEffect.Refuse>(ended.single())
+            assertEquals(GatewayRefusal.QUARANTINED, refusal.reason)
+            assertEquals(503, refusal.status)
+        }
+    }
+
+    private fun crash(upstream: String, age: Duration) =
+        PromptCrash(upstream, now - age, persistentSetOf(PromptPart("crashing")))
+
     /** Sends a request with the crashing part; whether an engine got it, which then crashed. */
     private fun sendCrashing(): Boolean {
         val effect = arrive(setOf("instructions", "subject-${requests % 3}", "crashing"))
@@ -83,8 +117,9 @@
         return true
     }
 
-    private fun arrive(parts: Set<String>): GatewayEffect {
+    private fun arrive(parts: Set<String>): GatewayEffect? {
         val id = "r${requests++}"
-        return emit(arrival(id, RequestKind.UNSAFE, now, parts = parts)).first()
+        val effects = emit(arrival(id, RequestKind.UNSAFE, now, parts = parts))
+        return effects.firstOrNull()
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -34,6 +34,7 @@
 import org.shallotplank.gateway.peer.PeerRow
 import org.shallotplank.gateway.peer.PeerView
 import org.shallotplank.gateway.peer.Peers
+import org.shallotplank.gateway.peer.PromptCrashExchange
 import org.shallotplank.gateway.peer.RowCopy
 import org.shallotplank.gateway.peer.SeenLease
 import org.shallotplank.gateway.peer.SharedCrashes
@@ -93,6 +94,12 @@
     private var seeds = settings.seedAddresses.toSet()
     private var staleSince: Instant? = clock.now()
     private val crashes = SharedCrashes(clock) { exchanges.emit(GatewayEvent.CrashLearned(it)) }
+    private val promptCrashes = PromptCrashExchange(
+        clock = clock,
+        quarantine = { exchanges.state.partQuarantine },
+        onLearned = { exchanges.emit(GatewayEvent.PromptCrashesLearned(it)) },
+        log = log
+    )
 
     /** Locations of all registered entries, running or not. */
     private var entryLocations: List<EntryLocation> = emptyList()
@@ -257,7 +264,7 @@
         zone = settings.zone.value,
         isReady = exchanges.state.isReady,
         isStopping = exchanges.state.isStopping,
-        tableVersions = followers.mapValues { (_, follower) -> follower.replica.version },
+        tableVersions = tableVersions(),
         inFlight = exchanges.state.inFlight
             .map { (key, count) -> UpstreamInFlight(key.id.value, key.incarnation, count) },
         crashes = crashes.recent,
@@ -271,8 +278,14 @@
             ?.let { (clock.now() - it).inWholeMilliseconds }
     )
 
+    private fun tableVersions(): Map<String, Long> {
+        val copied = followers.mapValues { (_, follower) -> follower.replica.version }
+        return promptCrashes.version?.let { copied + (PromptCrashExchange.TABLE to it) } ?: copied
+    }
+
     /** The copy of [table], or null before the first read. */
     fun tableCopy(table: String): TableCopy? {
+        if (table == PromptCrashExchange.TABLE) return promptCrashes.copy()
         val replica = followers[table]?.replica?.takeIf { it.version >= 0 } ?: return null
         val rows = replica.rows.map { RowCopy(it.key, it.value, it.version) }
         return TableCopy(replica.version, rows)
@@ -341,6 +354,7 @@
     private suspend fun onPeerReport(view: PeerView, client: HttpClient) {
         val report = view.report ?: return
         report.crashes.forEach(crashes::learn)
+        promptCrashes.follow(view, client)
         for ((table, version) in report.tableVersions) {
             val follower = followers[table] ?: continue
             val isAnswered = clock.now() - follower.answeredAt < STORE_STALENESS_BOUND
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
@@ -28,6 +28,9 @@
     var report: PeerReport? = null
     var lastContactAt: Instant = Instant.DISTANT_PAST
     var isAlive: Boolean = false
+
+    /** The last fetched version of its [PromptCrashExchange.TABLE], null before the first. */
+    var promptCrashesFetched: OfferedVersion? = null
 }
 
 /**
--- /dev/null
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
@@ -0,0 +1,153 @@
+package org.shallotplank.gateway
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import org.junit.jupiter.api.Nested
+import org.shallotplank.core.quarantine.PartQuarantine
+import org.shallotplank.core.quarantine.PromptCrash
+import org.shallotplank.core.quarantine.PromptPart
+import org.shallotplank.gateway.peer.PeerReport
+import org.shallotplank.gateway.peer.PromptCrashExchange
+import org.shallotplank.gateway.peer.RowCopy
+import org.shallotplank.gateway.peer.TableCopy
+import org.shallotplank.gateway.store.StoreRow
+
+/** Guards against reports that entries of build 4c2d8cf reject, which would then count as away. */
+@OptIn(ExperimentalSerializationApi::class)
+class PeerCompatibilityTest {
+    private val clock = SteadyClock()
+    private val quarantine = PartQuarantine().merge(
+        PromptCrash(
+            upstream = "u@1",
+            at = clock.now() - 3.seconds,
+            parts = persistentSetOf(PromptPart("a"), PromptPart("b")),
+            establishedParts = persistentSetOf(PromptPart("b"))
+        )
+    )
+    private val learned = mutableListOf<PromptCrash>()
+
+    private fun exchange(own: PartQuarantine) = PromptCrashExchange(
+        clock = clock,
+        quarantine = { own },
+        onLearned = { learned += it },
+        log = { error("unexpected line: $it") }
+    )
+
+    private fun report(tableVersions: Map<String, Long>) = PeerReport(
+        instance = "e",
+        incarnation = 7,
+        publicAddress = "10.0.0.2:2",
+        zone = "a",
+        isReady = true,
+        isStopping = false,
+        tableVersions = tableVersions,
+        inFlight = emptyList(),
+        crashes = emptyList(),
+        leasesAgeMillis = 3
+    )
+
+    @Nested
+    inner class ReportsOfThisBuild {
+        @Test
+        fun `are read by build 4c2d8cf`() {
+            val version = exchange(quarantine).version ?: 0
+            val report = report(mapOf("servers" to 5L, PromptCrashExchange.TABLE to version))
+            val decoded = Cbor.decodeFromByteArray<Report4c2d8cf>(Cbor.encodeToByteArray(report))
+            assertEquals(5, decoded.tableVersions["servers"])
+            assertEquals("10.0.0.2:2", decoded.publicAddress)
+        }
+
+        @Test
+        fun `name no table of crashes while there were none`() {
+            assertEquals(null, exchange(PartQuarantine()).version)
+        }
+    }
+
+    @Nested
+    inner class ReportsOfBuild4c2d8cf {
+        @Test
+        fun `are read by this build`() {
+            val old = Report4c2d8cf(
+                instance = "e",
+                incarnation = 7,
+                publicAddress = "10.0.0.2:2",
+                zone = "a",
+                isReady = true,
+                isStopping = false,
+                tableVersions = mapOf("servers" to 5L),
+                inFlight = emptyList(),
+                crashes = emptyList()
+            )
+            val decoded = Cbor.decodeFromByteArray<PeerReport>(Cbor.encodeToByteArray(old))
+            assertEquals(mapOf("servers" to 5L), decoded.tableVersions)
+        }
+    }
+
+    @Nested
+    inner class TheTableOfCrashes {
+        private fun decode(copy: TableCopy) = exchange(PartQuarantine())
+            .learn(copy.rows.map { StoreRow(it.key, it.value, it.version) })
+
+        @Test
+        fun `is read by other entries as it was offered`() {
+            decode(exchange(quarantine).copy())
+            val expected = quarantine.crashes.getValue("u@1")
+            val crash = learned.single()
+            assertEquals(expected.copy(at = crash.at), crash)
+            assertEquals(0, (expected.at - crash.at).inWholeMilliseconds / TOLERANCE_MILLIS)
+        }
+
+        @Test
+        fun `is read although a later build added a field`() {
+            val value = """{"ageMillis":5,"parts":["a"],"added":{"later":1}}"""
+            decode(TableCopy(1, listOf(RowCopy("u@1", value, 0))))
+            assertEquals(persistentSetOf(PromptPart("a")), learned.single().parts)
+        }
+    }
+
+    private companion object {
+        const val TOLERANCE_MILLIS = 500
+    }
+}
+
+/** The report of build 4c2d8cf, which rejects unknown fields. */
+@Serializable
+private class Report4c2d8cf(
+    val instance: String,
+    val incarnation: Long,
+    val publicAddress: String,
+    val zone: String,
+    val isReady: Boolean,
+    val isStopping: Boolean,
+    val tableVersions: Map<String, Long>,
+    val inFlight: List<InFlight4c2d8cf>,
+    val crashes: List<Crash4c2d8cf>,
+    val leaving: List<Leaving4c2d8cf> = emptyList(),
+    val groupsLeft: List<String> = emptyList(),
+    val slowRanks: List<SlowRank4c2d8cf> = emptyList(),
+    val leases: List<Lease4c2d8cf> = emptyList(),
+    val leasesAgeMillis: Long? = null
+)
+
+@Serializable
+private class InFlight4c2d8cf(val id: String, val incarnation: Long, val count: Int)
+
+@Serializable
+private class Crash4c2d8cf(val customer: String, val bodySha256: String, val attempt: String)
+
+@Serializable
+private class Leaving4c2d8cf(val id: String, val incarnation: Long)
+
+@Serializable
+private class SlowRank4c2d8cf(val id: String, @SerialName("pace") val slowdown: Double)
+
+@Serializable
+private class Lease4c2d8cf(val group: String, val term: Long)
