Log the limits that upstreams name

What upstreams say of the requests that they accept was not read, so that the logs could not show whether entries knew of a limit. It is read and kept with the other notices now, and SP5025 is written when it changes. Any head may name a limit; only the head of a genuine answer to the own request lifts it. Nothing is decided by it yet.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -89,6 +89,13 @@
         val pause: Duration?
     ) : GatewayEvent
 
+    /** The head of an upstream's answer named a limit on its requests, or named none. */
+    public data class UpstreamRateObserved(
+        val upstream: UpstreamKey,
+        /** Requests per second from all entries together, 0.0 or more; null for no limit. */
+        val requestsPerSecond: Double?
+    ) : GatewayEvent
+
     /** A configuration came into force. */
     public data class RoutesAccepted(val routes: RouteTable) : GatewayEvent
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/ObservedNotice.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/ObservedNotice.kt
@@ -15,10 +15,12 @@
  *
  * @property isLeaving whether it accepts no further requests; stays true once set.
  * @property pausedUntil end of the time for which it asked this entry to send nothing.
+ * @property rate limit on the requests of all entries together, null if it never named one.
  */
 public data class ObservedNotice(
     val isLeaving: Boolean = false,
-    val pausedUntil: Instant = Instant.DISTANT_PAST
+    val pausedUntil: Instant = Instant.DISTANT_PAST,
+    val rate: ObservedRate? = null
 ) {
     internal fun acceptsRequests(now: Instant): Boolean = !isLeaving && now >= pausedUntil
 }
@@ -81,7 +83,7 @@
     "outstanding" to upstreams[key]?.outstanding
 )
 
-private fun GatewayState.withNotice(
+internal fun GatewayState.withNotice(
     key: UpstreamKey,
     change: (ObservedNotice) -> ObservedNotice
 ): GatewayState {
--- a/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
@@ -70,6 +70,7 @@
     GATEWAY_UPSTREAM_PAUSED(5022, Severity.INFO, "upstream asked for a pause"),
     GATEWAY_CRASH_LEARNED(5023, Severity.WARN, "another entry saw a request crash an upstream"),
     GATEWAY_PROMPT_PARTS_REFUSED(5024, Severity.WARN, "prompt parts crash upstreams; refused"),
+    GATEWAY_UPSTREAM_LIMITED(5025, Severity.INFO, "upstream named a limit on its requests"),
     PROCESS_STARTED(9001, Severity.INFO, "process started"),
     PROCESS_DRAINING(9002, Severity.INFO, "process stops taking work"),
     PROCESS_STOPPED(9003, Severity.INFO, "process stopped"),
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/HeaderNames.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/HeaderNames.kt
@@ -15,6 +15,7 @@
  * @property pauseSeconds seconds for which an upstream that answered 503 is to get no requests.
  * @property signature present on each answer that an upstream made.
  * @property lastEventId id of the last event of a stream that the caller received.
+ * @property requestRate requests per second that an upstream accepts from all entries together.
  * @property promptParts parts of the prompt in order, as comma-separated `id:tokens` entries.
  */
 public data class HeaderNames(
@@ -30,5 +31,6 @@
     val pauseSeconds: String,
     val signature: String,
     val lastEventId: String,
-    val promptParts: String
+    val promptParts: String,
+    val requestRate: String
 )
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -109,6 +109,8 @@
 
     private fun onHead(response: HttpResponse) {
         noticeOf(response, target.key, context.headers)?.let(context.emit)
+        val rate = requestRateOf(response, context.headers)
+        if (rate != null) reportRate(response, rate)
         val isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (isInterim || belongsToOtherRequest(response)) {
             isSkipping = true
@@ -125,6 +127,8 @@
             fail(AttemptFailure.GARBLED)
             return
         }
+        // Answers that may be late or not genuine do not lift a limit.
+        if (rate == null) reportRate(response, rate = null)
         if (!isNotRun(response)) {
             context.emit(
                 GatewayEvent.HeadReceived(
@@ -137,6 +141,11 @@
         }
     }
 
+    private fun reportRate(response: HttpResponse, rate: Double?) {
+        if (response.status().code() == MISDIRECTED) return
+        context.emit(GatewayEvent.UpstreamRateObserved(target.key, rate))
+    }
+
     /**
      * Whether the headers of [response] are not those of a genuine answer of an upstream.
      *
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamNotice.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamNotice.kt
@@ -30,6 +30,18 @@
     return GatewayEvent.UpstreamNotice(upstream, isLeaving, pause)
 }
 
+/**
+ * Returns the requests per second that an upstream accepts according to the head of [response].
+ *
+ * The lowest one applies if several are named; null if none is, or no valid one.
+ */
+internal fun requestRateOf(response: HttpResponse, headers: HeaderNames): Double? =
+    response.headers().getAll(headers.requestRate)
+        .flatMap { it.split(',') }
+        .mapNotNull { it.trim().toDoubleOrNull() }
+        .filter { it.isFinite() && it >= 0.0 }
+        .minOrNull()
+
 /** Parses a pause in seconds, at most [MAX_PAUSE]; null if [value] is no positive number. */
 internal fun pauseOrNull(value: String): Duration? = value.trim().toDoubleOrNull()
     ?.takeIf { it > 0.0 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
@@ -47,7 +47,8 @@
     pauseSeconds = "Retry-After",
     signature = "X-Stamp",
     lastEventId = "Last-Event-Id",
-    promptParts = "X-Prompt"
+    promptParts = "X-Prompt",
+    requestRate = "X-Rate"
 )
 
 /** The exchanges of one gateway entry on loopback, in front of scripted upstreams. */
