Let entries exchange further tables in the way of prompt crashes

What entries add to their reports has to pass over builds that reject unknown fields. The table of prompt crashes does; its exchange is split into tables and what any of them needs: versions in the report, and a fetch when a version has changed. No change of behaviour.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -32,9 +32,9 @@
 import org.shallotplank.gateway.peer.PeerReport
 import org.shallotplank.gateway.peer.PeerReports
 import org.shallotplank.gateway.peer.PeerRow
+import org.shallotplank.gateway.peer.PeerTables
 import org.shallotplank.gateway.peer.PeerView
 import org.shallotplank.gateway.peer.Peers
-import org.shallotplank.gateway.peer.PromptCrashExchange
 import org.shallotplank.gateway.peer.RowCopy
 import org.shallotplank.gateway.peer.SeenLease
 import org.shallotplank.gateway.peer.SharedCrashes
@@ -43,6 +43,7 @@
 import org.shallotplank.gateway.peer.UpstreamInFlight
 import org.shallotplank.gateway.peer.delegate
 import org.shallotplank.gateway.peer.fetchTable
+import org.shallotplank.gateway.peer.promptCrashTable
 import org.shallotplank.gateway.peer.sendDelegated
 import org.shallotplank.gateway.store.FollowSettings
 import org.shallotplank.gateway.store.MetadataStore
@@ -94,11 +95,15 @@
     private var seeds = settings.seedAddresses.toSet()
     private var staleSince: Instant? = clock.now()
     private val crashes = SharedCrashes(clock) { exchanges.emit(GatewayEvent.CrashLearned(it)) }
-    private val promptCrashes = PromptCrashExchange(
-        clock = clock,
-        quarantine = { exchanges.state.partQuarantine },
-        onLearned = { exchanges.emit(GatewayEvent.PromptCrashesLearned(it)) },
-        log = log
+    private val peerTables = PeerTables(
+        listOf(
+            promptCrashTable(
+                clock = clock,
+                quarantine = { exchanges.state.partQuarantine },
+                onLearned = { exchanges.emit(GatewayEvent.PromptCrashesLearned(it)) },
+                log = log
+            )
+        )
     )
 
     /** Locations of all registered entries, running or not. */
@@ -264,7 +269,8 @@
         zone = settings.zone.value,
         isReady = exchanges.state.isReady,
         isStopping = exchanges.state.isStopping,
-        tableVersions = tableVersions(),
+        tableVersions = peerTables.versions +
+            followers.mapValues { (_, follower) -> follower.replica.version },
         inFlight = exchanges.state.inFlight
             .map { (key, count) -> UpstreamInFlight(key.id.value, key.incarnation, count) },
         crashes = crashes.recent,
@@ -278,14 +284,9 @@
             ?.let { (clock.now() - it).inWholeMilliseconds }
     )
 
-    private fun tableVersions(): Map<String, Long> {
-        val copied = followers.mapValues { (_, follower) -> follower.replica.version }
-        return promptCrashes.version?.let { copied + (PromptCrashExchange.TABLE to it) } ?: copied
-    }
-
     /** The copy of [table], or null before the first read. */
     fun tableCopy(table: String): TableCopy? {
-        if (table == PromptCrashExchange.TABLE) return promptCrashes.copy()
+        peerTables.copy(table)?.let { return it }
         val replica = followers[table]?.replica?.takeIf { it.version >= 0 } ?: return null
         val rows = replica.rows.map { RowCopy(it.key, it.value, it.version) }
         return TableCopy(replica.version, rows)
@@ -354,7 +355,7 @@
     private suspend fun onPeerReport(view: PeerView, client: HttpClient) {
         val report = view.report ?: return
         report.crashes.forEach(crashes::learn)
-        promptCrashes.follow(view, client)
+        peerTables.follow(view, client)
         for ((table, version) in report.tableVersions) {
             val follower = followers[table] ?: continue
             val isAnswered = clock.now() - follower.answeredAt < STORE_STALENESS_BOUND
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
@@ -29,8 +29,8 @@
     var lastContactAt: Instant = Instant.DISTANT_PAST
     var isAlive: Boolean = false
 
-    /** The last fetched version of its [PromptCrashExchange.TABLE], null before the first. */
-    var promptCrashesFetched: OfferedVersion? = null
+    /** The last fetched versions of its [PeerTables], by name. */
+    val fetchedVersions = HashMap<String, OfferedVersion>()
 }
 
 /**
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
@@ -14,10 +14,10 @@
 import org.shallotplank.core.quarantine.PartQuarantine
 import org.shallotplank.core.quarantine.PromptCrash
 import org.shallotplank.core.quarantine.PromptPart
+import org.shallotplank.gateway.peer.PROMPT_CRASHES
 import org.shallotplank.gateway.peer.PeerReport
-import org.shallotplank.gateway.peer.PromptCrashExchange
 import org.shallotplank.gateway.peer.RowCopy
-import org.shallotplank.gateway.peer.TableCopy
+import org.shallotplank.gateway.peer.promptCrashTable
 import org.shallotplank.gateway.store.StoreRow
 
 /** Guards against reports that entries of build 4c2d8cf reject, which would then count as away. */
@@ -34,7 +34,7 @@
     )
     private val learned = mutableListOf<PromptCrash>()
 
-    private fun exchange(own: PartQuarantine) = PromptCrashExchange(
+    private fun crashes(own: PartQuarantine) = promptCrashTable(
         clock = clock,
         quarantine = { own },
         onLearned = { learned += it },
@@ -58,8 +58,8 @@
     inner class ReportsOfThisBuild {
         @Test
         fun `are read by build 4c2d8cf`() {
-            val version = exchange(quarantine).version ?: 0
-            val report = report(mapOf("servers" to 5L, PromptCrashExchange.TABLE to version))
+            val version = crashes(quarantine).version() ?: 0
+            val report = report(mapOf("servers" to 5L, PROMPT_CRASHES to version))
             val decoded = Cbor.decodeFromByteArray<Report4c2d8cf>(Cbor.encodeToByteArray(report))
             assertEquals(5, decoded.tableVersions["servers"])
             assertEquals("10.0.0.2:2", decoded.publicAddress)
@@ -67,7 +67,7 @@
 
         @Test
         fun `name no table of crashes while there were none`() {
-            assertEquals(null, exchange(PartQuarantine()).version)
+            assertEquals(null, crashes(PartQuarantine()).version())
         }
     }
 
@@ -93,12 +93,12 @@
 
     @Nested
     inner class TheTableOfCrashes {
-        private fun decode(copy: TableCopy) = exchange(PartQuarantine())
-            .learn(copy.rows.map { StoreRow(it.key, it.value, it.version) })
+        private fun decode(rows: List<RowCopy>) = crashes(PartQuarantine())
+            .learn(rows.map { StoreRow(it.key, it.value, it.version) })
 
         @Test
         fun `is read by other entries as it was offered`() {
-            decode(exchange(quarantine).copy())
+            decode(crashes(quarantine).rows())
             val expected = quarantine.crashes.getValue("u@1")
             val crash = learned.single()
             assertEquals(expected.copy(at = crash.at), crash)
@@ -108,7 +108,7 @@
         @Test
         fun `is read although a later build added a field`() {
             val value = """{"ageMillis":5,"parts":["a"],"added":{"later":1}}"""
-            decode(TableCopy(1, listOf(RowCopy("u@1", value, 0))))
+            decode(listOf(RowCopy("u@1", value, 0)))
             assertEquals(persistentSetOf(PromptPart("a")), learned.single().parts)
         }
     }
