Keep the limits that upstreams name, over all entries together

Cause: entries sent by free slots alone. An engine with a limit has as many free slots as any other, so it got as many requests; its owner alone exceeded the limit. The class of fault: a state that an upstream announces and nobody reads.

The entries divide the limit of four seconds by ownership, as they divide the rate of cold upstreams: their shares never add up to more than the limit, however many entries there are. Requests sent before the limit was known count. A limited upstream adds only the requests that it may still get to the capacity of its service, so that admission lets others wait or refuses them instead of sending what no upstream may take.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -30,13 +30,19 @@
  */
 private fun GatewayState.capacityOf(service: ServiceName, context: GatewayContext): Int {
     val usable = upstreamsOf(service).filter { isInService(it) && it.isUsable(context.now) }
-    val slots = usable.sumOf { it.record.slots }
+    val slots = usable.sumOf { usableSlots(it, context) }
     val others = usable.sumOf { it.othersOutstanding }
     val maxRunning = settings.policies.maxRunning(this, service, slots)
     val share = ceil(maxRunning.toDouble() / entryCount * GUARANTEED_SHARE).toInt()
     return if (isDiscoveringPeers(context)) share else maxOf(maxRunning - others, share)
 }
 
+/** Slots of [upstream], of which a limit on its requests may leave some without use. */
+private fun GatewayState.usableSlots(upstream: GatewayUpstream, context: GatewayContext): Int {
+    val left = requestsLeft(upstream, context) ?: return upstream.record.slots
+    return (upstream.totalOutstanding + left).coerceAtMost(upstream.record.slots)
+}
+
 /** Whether entries that started together with this one may not have reported to it yet. */
 private fun GatewayState.isDiscoveringPeers(context: GatewayContext): Boolean = entryCount > 1 &&
     servingEntries.isEmpty() &&
@@ -138,7 +144,8 @@
             isInService(it) &&
                 it.mayReceiveAttempt(context.now) &&
                 it.record.id !in call.excluded &&
-                it.hasRateLeft(rate?.let { all -> rateShareOf(all, it) }, context.now)
+                it.hasRateLeft(rate?.let { all -> rateShareOf(all, it) }, context.now) &&
+                requestsLeft(it, context) != 0
         }
         .minByOrNull {
             settings.policies.upstreamCost(this, it, call, context.now) +
@@ -162,15 +169,15 @@
 }
 
 /**
- * Requests per second that this entry may send to [upstream], of the [ratePerSecond] that all
- * entries together may send.
+ * Requests that this entry may send to [upstream] in some time, of the [rate] that all entries
+ * together may send in it.
  *
- * The limit applies to warm upstreams as well, since an upstream may turn cold without notice.
+ * The limit of cold upstreams applies to warm ones as well, since an upstream may turn cold without
+ * notice.
  */
-private fun GatewayState.rateShareOf(ratePerSecond: Double, upstream: GatewayUpstream): Int {
-    val ownership = upstream.ownership
-        ?: return (ratePerSecond / entryCount).toInt().coerceAtLeast(1)
-    return rateShare(ratePerSecond, ownership.distance, entries.size)
+internal fun GatewayState.rateShareOf(rate: Double, upstream: GatewayUpstream): Int {
+    val ownership = upstream.ownership ?: return (rate / entryCount).toInt().coerceAtLeast(1)
+    return rateShare(rate, ownership.distance, entries.size)
 }
 
 private fun GatewayState.connectionShare(service: UpstreamService?): Int {
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -96,6 +96,10 @@
         val requestsPerSecond: Double?
     ) : GatewayEvent
 
+    /** Another entry reported the limits that upstreams named to it. */
+    public data class UpstreamRatesLearned(val rates: PersistentMap<UpstreamKey, ObservedRate>) :
+        GatewayEvent
+
     /** A configuration came into force. */
     public data class RoutesAccepted(val routes: RouteTable) : GatewayEvent
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
@@ -18,7 +18,7 @@
  *
  * @property outstanding attempts of this entry that have not ended.
  * @property othersOutstanding attempts of the other entries that have not ended, as last reported.
- * @property recentSends times at which this entry sent requests there in the last [RATE_WINDOW].
+ * @property recentSends times at which this entry sent requests there in the last [SENDS_KEPT].
  * @property failures number of consecutive failed attempts.
  * @property blockedUntil end of the backoff after a failure; nothing is sent there before.
  * @property fullUntil time until which the entry assumes that no slot is free there.
@@ -82,19 +82,26 @@
 
     /** Whether one more attempt at [now] stays within [ratePerSecond]; null means no limit. */
     internal fun hasRateLeft(ratePerSecond: Int?, now: Instant): Boolean =
-        ratePerSecond == null || recentSends.count { now - it < RATE_WINDOW } < ratePerSecond
+        ratePerSecond == null || sendsWithin(RATE_WINDOW, now) < ratePerSecond
+
+    /** Number of requests that this entry sent there in the last [window]. */
+    internal fun sendsWithin(window: Duration, now: Instant): Int =
+        recentSends.count { now - it < window }
 
     /**
      * Whether its state may be dropped once it is not listed: no attempt is outstanding and no
      * recent send counts towards its rate.
      */
-    internal fun isIdle(now: Instant): Boolean =
-        outstanding == 0 && recentSends.none { now - it < RATE_WINDOW }
+    internal fun isIdle(now: Instant): Boolean {
+        val isLimited = notice.rate?.requestsPerSecond != null
+        val counted = if (isLimited) SENDS_KEPT else RATE_WINDOW
+        return outstanding == 0 && sendsWithin(counted, now) == 0
+    }
 
     internal fun sent(now: Instant): GatewayUpstream = copy(
         outstanding = outstanding + 1,
         connectionKeptUntil = Instant.DISTANT_PAST,
-        recentSends = recentSends.removeAll { now - it >= RATE_WINDOW }.add(now)
+        recentSends = recentSends.removeAll { now - it >= SENDS_KEPT }.add(now)
     )
 
     internal fun ended(): GatewayUpstream = copy(outstanding = (outstanding - 1).coerceAtLeast(0))
@@ -123,6 +130,9 @@
         /** Rate limits of cold upstreams are configured as requests per second. */
         val RATE_WINDOW: Duration = 1.seconds
 
+        /** Longest time over which sends are counted. */
+        val SENDS_KEPT: Duration = 8.seconds
+
         /**
          * Connections are kept for 250 ms if the upstream states no keep-alive time; the
          * difference allows for the network delay to the upstream.
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/UpstreamOwnership.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/UpstreamOwnership.kt
@@ -66,14 +66,15 @@
     .first { it == own || it in serving }
 
 /**
- * Share of [ratePerSecond] for the entry at [distance] from the owner, among [entryCount] entries.
+ * Share of [rate], in requests over some time, for the entry at [distance] from the owner, among
+ * [entryCount] entries.
  *
  * The owner gets half, rounded up. The others share the rest equally; if that is less than one
  * request each, only the nearest ones get one. The shares never add up to more than the rate, with
- * one exception: the owner gets one request per second even if the rate is below one.
+ * one exception: the owner gets one request even if the rate is below one.
  */
-internal fun rateShare(ratePerSecond: Double, distance: Int, entryCount: Int): Int {
-    val whole = ratePerSecond.toInt()
+internal fun rateShare(rate: Double, distance: Int, entryCount: Int): Int {
+    val whole = rate.toInt()
     if (entryCount <= 1) return whole.coerceAtLeast(1)
     val others = whole / 2
     return when {
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/EntryFleet.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/EntryFleet.kt
@@ -91,6 +91,10 @@
             serving = locations.map { it.instance }.toPersistentSet()
         )
         emit(entry, event)
+        entries.filterIndexed { index, _ -> index != entry }.forEach { other ->
+            val rates = other.observedRates.toPersistentMap()
+            emit(entry, GatewayEvent.UpstreamRatesLearned(rates))
+        }
         later(reportInterval) { report(entry) }
     }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -17,6 +17,7 @@
 import org.shallotplank.core.expertmap.OrderOutcome
 import org.shallotplank.core.gateway.EntryLocation
 import org.shallotplank.core.gateway.GatewayEvent
+import org.shallotplank.core.gateway.observedRates
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
@@ -45,6 +46,7 @@
 import org.shallotplank.gateway.peer.fetchTable
 import org.shallotplank.gateway.peer.promptCrashTable
 import org.shallotplank.gateway.peer.sendDelegated
+import org.shallotplank.gateway.peer.upstreamRateTable
 import org.shallotplank.gateway.store.FollowSettings
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.StoreRow
@@ -102,6 +104,12 @@
                 quarantine = { exchanges.state.partQuarantine },
                 onLearned = { exchanges.emit(GatewayEvent.PromptCrashesLearned(it)) },
                 log = log
+            ),
+            upstreamRateTable(
+                clock = clock,
+                rates = { exchanges.state.observedRates },
+                onLearned = { exchanges.emit(GatewayEvent.UpstreamRatesLearned(it)) },
+                log = log
             )
         )
     )
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
@@ -2,7 +2,9 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
@@ -11,13 +13,18 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import org.junit.jupiter.api.Nested
+import org.shallotplank.core.InstanceId
+import org.shallotplank.core.gateway.ObservedRate
+import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.core.quarantine.PartQuarantine
 import org.shallotplank.core.quarantine.PromptCrash
 import org.shallotplank.core.quarantine.PromptPart
 import org.shallotplank.gateway.peer.PROMPT_CRASHES
 import org.shallotplank.gateway.peer.PeerReport
 import org.shallotplank.gateway.peer.RowCopy
+import org.shallotplank.gateway.peer.UPSTREAM_RATES
 import org.shallotplank.gateway.peer.promptCrashTable
+import org.shallotplank.gateway.peer.upstreamRateTable
 import org.shallotplank.gateway.store.StoreRow
 
 /** Guards against reports that entries of build 4c2d8cf reject, which would then count as away. */
@@ -59,7 +66,8 @@
         @Test
         fun `are read by build 4c2d8cf`() {
             val version = crashes(quarantine).version() ?: 0
-            val report = report(mapOf("servers" to 5L, PROMPT_CRASHES to version))
+            val report =
+                report(mapOf("servers" to 5L, PROMPT_CRASHES to version, UPSTREAM_RATES to 2L))
             val decoded = Cbor.decodeFromByteArray<Report4c2d8cf>(Cbor.encodeToByteArray(report))
             assertEquals(5, decoded.tableVersions["servers"])
             assertEquals("10.0.0.2:2", decoded.publicAddress)
@@ -113,6 +121,46 @@
         }
     }
 
+    @Nested
+    inner class TheTableOfLimits {
+        private val upstream = UpstreamKey(InstanceId("u"), 1)
+        private val limit = ObservedRate(requestsPerSecond = 1.3, observedAt = clock.now())
+
+        private fun rates(own: () -> Map<UpstreamKey, ObservedRate>) = upstreamRateTable(
+            clock = clock,
+            rates = own,
+            onLearned = { learnedRates = it },
+            log = { error("unexpected line: $it") }
+        )
+
+        private var learnedRates = persistentMapOf<UpstreamKey, ObservedRate>()
+
+        @Test
+        fun `is read by other entries as it was offered, also when a limit is lifted`() {
+            for (rate in listOf(1.3, null)) {
+                val offered = rates { mapOf(upstream to limit.copy(requestsPerSecond = rate)) }
+                val rows = offered.rows().map { StoreRow(it.key, it.value, it.version) }
+                rates { emptyMap() }.learn(rows)
+                assertEquals(rate, learnedRates.getValue(upstream).requestsPerSecond)
+            }
+        }
+
+        @Test
+        fun `has another version when a limit changes or was confirmed later`() {
+            var own = emptyMap<UpstreamKey, ObservedRate>()
+            val table = rates { own }
+            assertEquals(null, table.version())
+            own = mapOf(upstream to limit)
+            val first = table.version()
+            assertEquals(first, table.version())
+            own = mapOf(upstream to limit.copy(observedAt = limit.observedAt + 2.seconds))
+            val confirmed = table.version()
+            assertNotEquals(first, confirmed)
+            own = mapOf(upstream to limit.copy(requestsPerSecond = null))
+            assertNotEquals(confirmed, table.version())
+        }
+    }
+
     private companion object {
         const val TOLERANCE_MILLIS = 500
     }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/UpstreamNoticesTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/UpstreamNoticesTest.kt
@@ -192,6 +192,38 @@
         }
     }
 
+    @Nested
+    inner class AnUpstreamThatNamesALimit {
+        private fun rateAfter(vararg answers: (ReadRequest) -> String): Double? {
+            val upstream = upstream { request, socket, number ->
+                socket.send(answers[(number - 1).coerceAtMost(answers.lastIndex)](request))
+            }
+            val gateway = gateway(upstream)
+            repeat(answers.size) { gateway.exchange(request("safe", attempt = "a$it")) }
+            return gateway.state.notices.values.single().rate?.requestsPerSecond
+        }
+
+        private fun limited(value: String, status: String = "200 OK", extra: String = "") =
+            { request: ReadRequest ->
+                answer(request, status = status, extra = "X-Rate: $value\r\n$extra")
+            }
+
+        @Test
+        fun `names it in any answer, and the lowest applies`() {
+            assertEquals(1.3, rateAfter(limited("1.3")))
+            assertEquals(0.5, rateAfter(limited(" 2, 0.5")))
+            assertEquals(2.0, rateAfter(limited("2", "503 Full", "X-Not-Run: 1\r\n")))
+        }
+
+        @Test
+        fun `lifts it with an answer that names none`() =
+            assertNull(rateAfter(limited("1.3"), { answer(it) }))
+
+        @Test
+        fun `does not name it with a value that is no number of requests`() =
+            assertEquals(1.0, rateAfter(limited("1, NaN, -3, soon, Infinity")))
+    }
+
     private companion object {
         const val MORE_REQUESTS = 8
     }
