Close a connection on which an upstream refused without naming the request

Here a caller of a route that may be repeated got a 503 for a request that the engine had answered.

Cause: refusals need not echo the attempt id, so that a repeated one cannot be told from the refusal of the next request on the connection. After a refusal without the id the connection is closed now; a refusal on a kept connection is then never a repetition of an earlier one. Requests that may run only once were never affected, as each has a connection of its own.

BrokenAnswerTest failed before for a refusal without the id.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -118,6 +118,9 @@
             countSkipped(SKIPPED_HEAD_BYTES)
             return
         }
+        // A repetition of such a refusal would look like the answer to the next request.
+        val isAnonymous = response.headers()[context.headers.attemptId] == null
+        if (isAnonymous && isNotRun(response)) isConnectionUnusable = true
         lastProgressAt = context.clock.now()
         connection?.recordKeepAlive(response)
         head = response
