Never continue a begun answer with another upstream's other answer

Here that happened with an error longer than 256 KiB, which is forwarded as it arrives: its text followed the stream's events, and the answer ended as if it were complete. An answer that is no stream, may be repeated, is that long and breaks off was sent to the next upstream, and its second answer followed the beginning of the first.

Cause: whether the caller's answer had begun was looked at when a held answer was delivered, not when a long one outgrew the buffer; and a begun answer counted as repeatable if its route was. The attempt fails now in the first case, and only a stream is retried in the second.

Both tests of BrokenAnswerTest failed before; those for shorter errors and refusals pass with and without the change.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -200,6 +200,8 @@
 
 private fun GatewayState.isRetryAllowed(call: GatewayCall, context: GatewayContext): Boolean =
     call.attemptsSent < call.route.maxAttempts &&
+        // Only a stream can continue at another upstream.
+        (!call.isAnswerBegun || call.route.kind == RequestKind.STREAM) &&
         call.deadline - context.now > MIN_RETRY_TIME_LEFT &&
         mayRetry(call.service, context.now) &&
         !isQuarantined(call, context.now)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -244,6 +244,11 @@
             emitNotRun(response)
             return
         }
+        if (exchange.isAnswerBegun) {
+            // The caller has the beginning of an earlier attempt's answer.
+            fail(AttemptFailure.GARBLED)
+            return
+        }
         mode = AnswerMode.PASSED
         begin(response)
         exchange.connection.write(heldBytes.retain())
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/BrokenAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/BrokenAnswerTest.kt
@@ -5,6 +5,8 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import org.junit.jupiter.api.Nested
 
@@ -61,6 +63,63 @@
             }
     }
 
+    /** Guards against callers who find another answer's text in the middle of theirs. */
+    @Nested
+    inner class AnAnswerThatBrokeOffAfterItsBeginning {
+        private fun assertCutAfter(reply: String, beginning: String) {
+            assertContains(reply, beginning)
+            assertFalse("error" in reply, reply.takeLast(200))
+            assertFalse(reply.endsWith(LAST_CHUNK), "ends as if it were complete")
+        }
+
+        private fun failing(body: String) = upstream { request, socket ->
+            socket.send(answer(request, body, "500 Internal Server Error"))
+        }
+
+        private fun broken(answer: (ReadRequest) -> String) = upstream { request, socket ->
+            socket.send(answer(request))
+            Thread.sleep(100)
+            socket.reset()
+        }
+
+        private val brokenStream = { request: ReadRequest ->
+            streamHead(request) + chunk("id: 1\ndata: a\n\n")
+        }
+
+        @Test
+        fun `is cut off if the next upstream fails`() {
+            val gateway = gateway(broken(brokenStream), failing("error"))
+            assertCutAfter(gateway.exchange(request("stream")), "data: a")
+        }
+
+        @Test
+        fun `is cut off if the next upstream fails with a long text`() {
+            val gateway = gateway(broken(brokenStream), failing("error ".repeat(100_000)))
+            assertCutAfter(gateway.exchange(request("stream")), "data: a")
+        }
+
+        @Test
+        fun `is cut off if the next upstream refuses`() {
+            val refusing = upstream { request, socket ->
+                socket.send(answer(request, "error", "503 Full", "X-Not-Run: 1\r\n"))
+            }
+            val gateway = gateway(broken(brokenStream), refusing)
+            assertCutAfter(gateway.exchange(request("stream")), "data: a")
+        }
+
+        @Test
+        fun `is not continued with the answer of another upstream unless it is a stream`() {
+            val beginning = "first ".repeat(60_000)
+            val long = broken { request -> streamHead(request) + chunk(beginning) }
+            val other = upstream { request, socket ->
+                socket.send(answer(request, "error ".repeat(60_000)))
+            }
+            val gateway = gateway(long, other)
+            assertCutAfter(gateway.exchange(request("safe")), "first")
+            assertEquals(0, other.requests.size)
+        }
+    }
+
     /** Guards against short answers that are framed as whole. */
     @Nested
     inner class AHeadThatBreaksOff {
