Treat a stream that ends inside an event as broken off

A stream that ended inside an event was delivered as complete if its chunks ended properly, and one without length or chunks that ended before its first event was delivered as an empty success.

Cause: only the end of the connection was taken for a sign, and only after bytes of an event. Such a stream is resumed at another upstream or cut off now. A whole answer on a stream route that is no event stream is delivered as before.

Three tests of BrokenAnswerTest failed before.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -280,15 +280,10 @@
                 endAndReleaseConnection(response)
                 context.emit(GatewayEvent.AnswerHeld(exchange.id, number, status))
             }
-            events.partialEventBytes > 0 &&
-                !isFramed(
-                    response
-                ) -> fail(AttemptFailure.CONNECTION_LOST)
+            isBrokenOff(response) -> fail(AttemptFailure.CONNECTION_LOST)
             else -> {
                 begin(response)
-                if (events.partialEventBytes >
-                    0
-                ) {
+                if (events.partialEventBytes > 0) {
                     exchange.connection.write(events.removePartialEvent())
                 }
                 exchange.connection.end()
@@ -300,6 +295,21 @@
         }
     }
 
+    /**
+     * Whether the stream ended before its end.
+     *
+     * A stream does not end inside an event. Without a length or chunks, nothing but its events
+     * shows that there was a stream.
+     */
+    private fun isBrokenOff(response: HttpResponse): Boolean = when {
+        mode != AnswerMode.EVENTS -> false
+        lastEventAt == null && !isFramed(response) -> true
+        else -> events.partialEventBytes > 0 && (lastEventAt != null || isEventStream(response))
+    }
+
+    private fun isEventStream(response: HttpResponse): Boolean =
+        HttpUtil.getMimeType(response)?.trim()?.contentEquals(EVENT_STREAM, true) == true
+
     private fun emitNotRun(response: HttpResponse) {
         val status = response.status().code()
         val isMisdirected = status == MISDIRECTED
@@ -357,6 +367,7 @@
 
     private companion object {
         const val OK = 200
+        const val EVENT_STREAM = "text/event-stream"
         const val LOAD_NUMBERS = 3
 
         /** Longest answer that is buffered; longer ones are forwarded as they arrive. */
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/BrokenAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/BrokenAnswerTest.kt
@@ -53,7 +53,8 @@
         @Test
         fun `is not taken for the next answer if it has no attempt id`() =
             assertNotTakenForTheNext {
-                "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nKeep-Alive: timeout=9\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nKeep-Alive: timeout=9\r\n" +
+                    "Content-Length: 0\r\n\r\n"
             }
 
         @Test
@@ -120,6 +121,67 @@
         }
     }
 
+    /** Guards against streams that end as if they were complete. */
+    @Nested
+    inner class AStreamThatEndsEarly {
+        private val whole = "id: 1\ndata: a\n\n"
+
+        private fun unframedHead(request: ReadRequest) = streamHead(request)
+            .replace("Transfer-Encoding: chunked\r\n", "")
+
+        private fun assertCut(answer: (ReadRequest) -> String) {
+            val only = upstream { request, socket ->
+                socket.send(answer(request))
+                socket.close()
+            }
+            val reply = gateway(only, maxAttempts = 1).exchange(request("stream"))
+            assertFalse(reply.endsWith(LAST_CHUNK), reply)
+        }
+
+        @Test
+        fun `inside an event is cut off, with and without chunks`() {
+            assertCut { streamHead(it) + chunk(whole + "id: 2\nda") + LAST_CHUNK }
+            assertCut { unframedHead(it) + whole + "id: 2\nda" }
+        }
+
+        @Test
+        fun `before its first event is cut off if nothing marks its end`() =
+            assertCut(::unframedHead)
+
+        @Test
+        fun `inside an event is resumed at another upstream`() {
+            val first = upstream { request, socket ->
+                socket.send(streamHead(request) + chunk(whole + "id: 2\nda") + LAST_CHUNK)
+            }
+            val second = upstream { request, socket ->
+                val from = request.header("Last-Event-Id")
+                socket.send(
+                    streamHead(request) + chunk("id: 2\ndata: after $from\n\n") + LAST_CHUNK
+                )
+            }
+            val reply = gateway(first, second).exchange(request("stream"))
+            assertContains(reply, "id: 2\ndata: after 1\n\n")
+            assertTrue(reply.endsWith(LAST_CHUNK))
+        }
+
+        @Test
+        fun `does not include a whole answer that is no event stream`() {
+            val only = upstream { request, socket -> socket.send(answer(request, "no events")) }
+            val reply = gateway(only).exchange(request("stream"))
+            assertContains(reply, "no events")
+            assertTrue(reply.endsWith(LAST_CHUNK))
+        }
+
+        @Test
+        fun `after an event without a length or chunks is complete`() {
+            val only = upstream { request, socket ->
+                socket.send(unframedHead(request) + whole)
+                socket.close()
+            }
+            assertTrue(gateway(only).exchange(request("stream")).endsWith(LAST_CHUNK))
+        }
+    }
+
     /** Guards against short answers that are framed as whole. */
     @Nested
     inner class AHeadThatBreaksOff {
