--- a/core/src/main/kotlin/org/shallotplank/core/gateway/EventPauseEstimate.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/EventPauseEstimate.kt
@@ -153,6 +153,7 @@
  * [slots] before the first observation and while iterations stall.
  */
 internal fun GatewayState.maxRunningWithinPause(service: ServiceName, slots: Int): Int {
+    if (slots <= 0) return 0
     val pausePerRequest = pauseEstimates[service]?.pausePerRequest ?: return slots
     val engine = service(service)?.engine ?: return slots
     val longest = routesInForce.longestPauses[service] ?: return slots
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/GatewayReducerTest.kt
@@ -219,6 +219,15 @@
             assertNotNull(refusal.retryAfter)
         }
 
+        /** Guards against events that are lost to an exception while no engine is usable. */
+        @Test
+        fun `of engines leaves no capacity while none of their slots is usable`() {
+            serve(listedUpstream("u", slots = 20), table = testTable(engine = engine))
+            repeat(20) { sent("$it", RequestKind.STREAM) }
+            observe(200.milliseconds)
+            assertEquals(0, state.maxRunningWithinPause(testService, slots = 0))
+        }
+
         @Test
         fun `of engines is detected by long pauses and lowers the number of running requests`() {
             serve(listedUpstream("u", slots = 20), table = testTable(engine = engine))
