Leave ended upstreams out of groups and of ownership

Cause: an upstream that left the list is kept while its sends count towards a limit, for eight seconds since limits are followed and for one second before. It still counted as a member of its group, which then had one rank twice and was taken for incomplete. It also shifted the division of upstreams among the entries, each of which keeps others.

Upstreams that are kept for their counts are marked as not listed and left out of both. The test of KeeperHandOverTest failed before.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
@@ -46,14 +46,21 @@
         for ((key, entry) in present) {
             val known = map[key]
                 ?: GatewayUpstream(entry.record, notice = notices[key] ?: ObservedNotice())
-            map[key] = known.copy(record = entry.record, missingSince = entry.missingSince)
+            map[key] = known.copy(
+                record = entry.record,
+                isListed = true,
+                missingSince = entry.missingSince
+            )
         }
         for (gone in map.keys.filter { it !in present }) {
             val known = map.getValue(gone)
             if (known.isIdle(context.now)) {
                 map.remove(gone)
             } else {
-                map[gone] = known.copy(record = known.record.copy(isLeaving = true))
+                map[gone] = known.copy(
+                    record = known.record.copy(isLeaving = true),
+                    isListed = false
+                )
             }
         }
     }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
@@ -16,6 +16,7 @@
 /**
  * State of one incarnation of an upstream, as one entry observes it.
  *
+ * @property isListed whether it is in the list of upstreams, and not only kept for its counts.
  * @property outstanding attempts of this entry that have not ended.
  * @property othersOutstanding attempts of the other entries that have not ended, as last reported.
  * @property recentSends times at which this entry sent requests there in the last [SENDS_KEPT].
@@ -34,6 +35,7 @@
  */
 public data class GatewayUpstream(
     val record: UpstreamRecord,
+    val isListed: Boolean = true,
     val missingSince: Instant? = null,
     val outstanding: Int = 0,
     val othersOutstanding: Int = 0,
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/UpstreamOwnership.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/UpstreamOwnership.kt
@@ -22,6 +22,7 @@
  * Entries and upstreams are both sorted by zone, and each entry owns an almost equal number of
  * consecutive upstreams, so that most are in its own zone. Entries with the same lists compute the
  * same result. If a service has fewer upstreams than entries, every entry prefers all of them.
+ * Upstreams that are not listed are left out, since each entry keeps others of them.
  *
  * @param own this entry; the map is returned unchanged if it is not among [entries].
  * @param serving entries that serve now; they substitute for owners that do not.
@@ -37,7 +38,7 @@
     val ownIndex = order.indexOf(own)
     if (ownIndex < 0) return this
     return mutate { map ->
-        for (upstreams in values.groupBy { it.record.service }.values) {
+        for (upstreams in values.filter { it.isListed }.groupBy { it.record.service }.values) {
             val sorted = upstreams.sortedWith(
                 compareBy({ it.record.zone.value }, { it.record.id.value }, { it.key.incarnation })
             )
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/ExpiredUpstreamRowTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/ExpiredUpstreamRowTest.kt
@@ -2,7 +2,9 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.persistentListOf
 import org.junit.jupiter.api.Nested
@@ -22,6 +24,20 @@
      *
      * An entry that drops its send times with the row would exceed the upstream's cold rate.
      */
+    /** Guards against a rank group that is not kept because an ended rank counts as a member. */
+    @Nested
+    inner class ItsCounts {
+        @Test
+        fun `are kept without it being listed`() {
+            serve(upstream)
+            sent("1")
+            emit(GatewayEvent.UpstreamsListed(persistentListOf()))
+            assertFalse(state.upstreams.values.single().isListed)
+            emit(GatewayEvent.UpstreamsListed(persistentListOf(upstream)))
+            assertTrue(state.upstreams.values.single().isListed)
+        }
+    }
+
     @Nested
     inner class ItsRate {
         @Test
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -297,7 +297,7 @@
     private fun knownGroups(): Map<String, KnownGroup> {
         val state = context.state()
         val members = state.upstreams.values.filter {
-            it.record.group != null && it.missingSince == null
+            it.record.group != null && it.isListed && it.missingSince == null
         }
         return members.groupBy { it.record.group?.name.orEmpty() }
             .mapNotNull { (name, group) -> knownGroup(group, state)?.let { name to it } }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -57,6 +57,7 @@
         override fun now(): Instant = now
     }
     private val store = SingleTableStore()
+    private var current = state
     private val entries = listOf("e1", "e2", "e3").map { Entry(KeeperCandidate(it, 1)) }
 
     private fun advance(time: Duration) {
@@ -108,6 +109,21 @@
         }
     }
 
+    /** Guards against a rank group that nobody keeps after one of its ranks has restarted. */
+    @Nested
+    inner class ARankThatEnded {
+        @Test
+        fun `does not keep its group from being kept while entries keep its counts`() {
+            val ended = upstreams.last().copy(
+                record = upstreams.last().record.copy(id = InstanceId("ended"), isLeaving = true),
+                isListed = false
+            )
+            current = state.copy(upstreams = state.upstreams.put(ended.key, ended))
+            advance(3.seconds)
+            assertTrue(keeper() != null)
+        }
+    }
+
     /** All entries start together and have not received each other's reports yet. */
     @Nested
     inner class AnEntryThatHasJustStarted {
@@ -219,7 +235,7 @@
             context = KeeperContext(
                 own = own,
                 candidates = ::candidates,
-                state = { state.copy(isStopping = isStopping, readySince = readySince) },
+                state = { current.copy(isStopping = isStopping, readySince = readySince) },
                 table = "t",
                 replica = { store.replica },
                 hasRelinquished = { candidate, group ->
