--- a/core/src/main/kotlin/org/shallotplank/core/gateway/EventPauseEstimate.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/EventPauseEstimate.kt
@@ -150,11 +150,11 @@
  * Highest number of requests that the engines of [service] may run at once with acceptable pauses.
  *
  * An iteration takes a fixed time plus a time that grows with the number of requests in it. Returns
- * [slots] before the first observation and while iterations stall.
+ * [slots] before the first observation, while iterations stall and if there are none.
  */
 internal fun GatewayState.maxRunningWithinPause(service: ServiceName, slots: Int): Int {
-    if (slots <= 0) return 0
-    val pausePerRequest = pauseEstimates[service]?.pausePerRequest ?: return slots
+    val pausePerRequest =
+        pauseEstimates[service]?.pausePerRequest?.takeIf { slots > 0 } ?: return slots
     val engine = service(service)?.engine ?: return slots
     val longest = routesInForce.longestPauses[service] ?: return slots
     val fixed = engine.stepTime * engine.eventStride
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/CrashingPromptPartTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/CrashingPromptPartTest.kt
@@ -25,12 +25,7 @@
     inner class RequestsWithAPartThatCrashesEngines {
         @Test
         fun `reach at most three more engines once the part has crashed five`() {
-            serve(*engines.toTypedArray())
-            repeat(20) { assertTrue(answerSoundRequest()) }
-            repeat(5) {
-                sendCrashing()
-                now += 1.seconds
-            }
+            serveThroughCrashes(5)
             now += 3.seconds
             val sent = (1..20).count {
                 now += 500.milliseconds
@@ -41,12 +36,7 @@
 
         @Test
         fun `do not keep sound requests that share their other parts from being served`() {
-            serve(*engines.toTypedArray())
-            repeat(20) { assertTrue(answerSoundRequest()) }
-            repeat(8) {
-                sendCrashing()
-                now += 1.seconds
-            }
+            serveThroughCrashes(8)
             now += 6.seconds
             repeat(20) {
                 sendCrashing()
@@ -78,6 +68,16 @@
         }
     }
 
+    /** Answers sound requests, then sends [count] requests with the crashing part. */
+    private fun serveThroughCrashes(count: Int) {
+        serve(*engines.toTypedArray())
+        repeat(20) { assertTrue(answerSoundRequest()) }
+        repeat(count) {
+            sendCrashing()
+            now += 1.seconds
+        }
+    }
+
     private fun crash(upstream: String, age: Duration) =
         PromptCrash(upstream, now - age, persistentSetOf(PromptPart("crashing")))
 
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/LimitedUpstreamTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/LimitedUpstreamTest.kt
@@ -5,7 +5,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 import org.junit.jupiter.api.Nested
 
 /** Guards against entries that together send an upstream more than the limit that it names. */
@@ -13,14 +12,30 @@
     private val limitedSince = startOfTest + 2.seconds
     private val limitedUntil = startOfTest + 20.seconds
 
-    private fun limitOf(rate: Double, count: Int) = { upstream: UpstreamKey, now: Instant ->
-        val isLimited = upstream.id.value.toInt() < count && now in limitedSince..limitedUntil
-        rate.takeIf { isLimited }
-    }
+    /** Simulates entries before [upstreamCount] engines, of which the first [count] name [rate]. */
+    private fun simulated(
+        entryCount: Int,
+        upstreamCount: Int,
+        rate: Double,
+        count: Int,
+        reportInterval: Duration = 250.milliseconds,
+        duration: Duration = 24.seconds
+    ): EntryFleet = EntryFleet(
+        entryCount = entryCount,
+        upstreamCount = upstreamCount,
+        slots = 8,
+        reportInterval = reportInterval,
+        limitOf = { upstream, now ->
+            val isLimited = upstream.isAmongFirst(count) && now in limitedSince..limitedUntil
+            rate.takeIf { isLimited }
+        }
+    ).also { it.simulate(load = 0.4, duration = duration) }
+
+    private fun UpstreamKey.isAmongFirst(count: Int) = id.value.toInt() < count
 
     /** The bound of the platform's rule: half as many again as the limit allows, and 5. */
     private fun assertLimitKept(fleet: EntryFleet, rate: Double, count: Int) {
-        val limited = fleet.arrivals.filterKeys { it.id.value.toInt() < count }
+        val limited = fleet.arrivals.filterKeys { it.isAmongFirst(count) }
         for ((upstream, arrivals) in limited) {
             val counted = arrivals.filter { it >= limitedSince + CONTACT_TIME && it < limitedUntil }
             val most = counted.maxOfOrNull { start ->
@@ -35,27 +50,19 @@
     inner class FourEntriesBeforeALimitedEngine {
         @Test
         fun `together keep its limit`() {
-            val fleet = EntryFleet(
-                entryCount = 4,
-                upstreamCount = 12,
-                slots = 8,
-                reportInterval = 250.milliseconds,
-                limitOf = limitOf(rate = 1.3, count = 1)
-            )
-            fleet.simulate(load = 0.4, duration = 24.seconds)
+            val fleet = simulated(entryCount = 4, upstreamCount = 12, rate = 1.3, count = 1)
             assertLimitKept(fleet, rate = 1.3, count = 1)
         }
 
         @Test
         fun `use it again when it names no limit any more`() {
-            val fleet = EntryFleet(
+            val fleet = simulated(
                 entryCount = 4,
                 upstreamCount = 4,
-                slots = 8,
-                reportInterval = 250.milliseconds,
-                limitOf = limitOf(rate = 0.5, count = 3)
+                rate = 0.5,
+                count = 3,
+                duration = 40.seconds
             )
-            fleet.simulate(load = 0.4, duration = 40.seconds)
             for ((upstream, arrivals) in fleet.arrivals) {
                 val late = arrivals.count { it > limitedUntil + 12.seconds }
                 assertTrue(late >= 8, "$upstream got $late requests in the last 8 s")
@@ -67,14 +74,13 @@
     inner class TwentyEntriesBeforeLimitedEngines {
         @Test
         fun `together keep the limit of each`() {
-            val fleet = EntryFleet(
+            val fleet = simulated(
                 entryCount = 20,
                 upstreamCount = 40,
-                slots = 8,
-                reportInterval = 760.milliseconds,
-                limitOf = limitOf(rate = 1.0, count = 12)
+                rate = 1.0,
+                count = 12,
+                reportInterval = 760.milliseconds
             )
-            fleet.simulate(load = 0.4, duration = 24.seconds)
             assertLimitKept(fleet, rate = 1.0, count = 12)
         }
     }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
@@ -83,17 +83,8 @@
     inner class ReportsOfBuild4c2d8cf {
         @Test
         fun `are read by this build`() {
-            val old = Report4c2d8cf(
-                instance = "e",
-                incarnation = 7,
-                publicAddress = "10.0.0.2:2",
-                zone = "a",
-                isReady = true,
-                isStopping = false,
-                tableVersions = mapOf("servers" to 5L),
-                inFlight = emptyList(),
-                crashes = emptyList()
-            )
+            val bytes = Cbor.encodeToByteArray(report(mapOf("servers" to 5L)))
+            val old = Cbor.decodeFromByteArray<Report4c2d8cf>(bytes)
             val decoded = Cbor.decodeFromByteArray<PeerReport>(Cbor.encodeToByteArray(old))
             assertEquals(mapOf("servers" to 5L), decoded.tableVersions)
         }
