Show by tests what two fixes claimed, and put a comment back to its class

A reading of the change found that two parts of it had no test: that crashes which cut an answer inside its head count, and that upstreams kept for their counts do not change who owns the listed ones. Both have one now. The load pattern of ItsRate had slipped onto the class before it. Comments of the limits use 'announce', and a name says what it compares.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/ObservedRate.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/ObservedRate.kt
@@ -9,11 +9,11 @@
 import org.shallotplank.core.then
 
 /**
- * What an upstream last said about a limit on its requests.
+ * Limit on its requests that an upstream last announced or lifted.
  *
  * @property requestsPerSecond requests that it accepts from all entries together, null for no
  *   limit.
- * @property observedAt when an entry received the answer that said so.
+ * @property observedAt when an entry received that answer.
  */
 public data class ObservedRate(val requestsPerSecond: Double?, val observedAt: Instant)
 
@@ -39,8 +39,8 @@
 ): GatewayStep = rates.entries.fold(GatewayStep(this)) { step, (key, rate) ->
     step.then { state ->
         val known = state.notices[key]?.rate
-        val isNews = known == null || rate.observedAt > known.observedAt
-        if (isNews) state.withRate(key, rate, source = "peer") else Step(state)
+        val isLater = known == null || rate.observedAt > known.observedAt
+        if (isLater) state.withRate(key, rate, source = "peer") else Step(state)
     }
 }.then { it.resizeQueues(context) }
 
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/CrashingPromptPartTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/CrashingPromptPartTest.kt
@@ -45,6 +45,19 @@
         }
     }
 
+    @Nested
+    inner class CrashesThatCutAnAnswerInItsHead {
+        @Test
+        fun `count as well`() {
+            serve(*engines.toTypedArray())
+            repeat(2) {
+                assertTrue(sendCrashing(AttemptFailure.GARBLED))
+                now += 1.seconds
+            }
+            assertFalse(sendCrashing())
+        }
+    }
+
     @Nested
     inner class CrashesThatOtherEntriesSaw {
         @Test
@@ -82,17 +95,11 @@
         PromptCrash(upstream, now - age, persistentSetOf(PromptPart("crashing")))
 
     /** Sends a request with the crashing part; whether an engine got it, which then crashed. */
-    private fun sendCrashing(): Boolean {
+    private fun sendCrashing(failure: AttemptFailure = AttemptFailure.CONNECTION_LOST): Boolean {
         val effect = arrive(setOf("instructions", "subject-${requests % 3}", "crashing"))
         if (effect !is GatewayEffect.Send) return false
         now += 80.milliseconds
-        emit(
-            GatewayEvent.AttemptLost(
-                effect.requestId,
-                effect.attempt,
-                AttemptFailure.CONNECTION_LOST
-            )
-        )
+        emit(GatewayEvent.AttemptLost(effect.requestId, effect.attempt, failure))
         emit(GatewayEvent.UpstreamCrashed(effect.upstream))
         restart(effect.upstream)
         return true
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/ExpiredUpstreamRowTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/ExpiredUpstreamRowTest.kt
@@ -19,11 +19,6 @@
         emit(GatewayEvent.UpstreamsListed(persistentListOf(upstream)))
     }
 
-    /**
-     * Load pattern: requests that end at once, sent to an upstream that may be cold.
-     *
-     * An entry that drops its send times with the row would exceed the upstream's cold rate.
-     */
     /** Guards against a rank group that is not kept because an ended rank counts as a member. */
     @Nested
     inner class ItsCounts {
@@ -38,6 +33,11 @@
         }
     }
 
+    /**
+     * Load pattern: requests that end at once, sent to an upstream that may be cold.
+     *
+     * An entry that drops its send times with the row would exceed the upstream's cold rate.
+     */
     @Nested
     inner class ItsRate {
         @Test
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/UpstreamOwnershipTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/UpstreamOwnershipTest.kt
@@ -60,6 +60,19 @@
         }
     }
 
+    /** Guards against entries that divide the limit of an upstream by different owners. */
+    @Nested
+    inner class UpstreamsThatOneEntryKeepsForTheirCounts {
+        @Test
+        fun `do not change who owns the listed ones`() {
+            val own = entries.first().instance
+            val ended = GatewayUpstream(listedUpstream("000-ended", "a").record, isListed = false)
+            val divided = upstreams.put(ended.key, ended).withOwnership(entries, own, names)
+            val listed = divided.remove(ended.key).mapValues { (_, upstream) -> upstream.ownership }
+            assertEquals(ownershipsOf(own), listed)
+        }
+    }
+
     @Nested
     inner class FewUpstreams {
         @Test
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/UpstreamRateTable.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/UpstreamRateTable.kt
@@ -18,7 +18,7 @@
 /**
  * The table of limits that upstreams named in their answers, and of those that they lifted.
  *
- * @param rates what this entry knows of such limits.
+ * @param rates the limits that this entry has observed or learned.
  * @param onLearned called with what another entry knows.
  */
 internal fun upstreamRateTable(
@@ -88,7 +88,7 @@
     null
 }
 
-/** What an upstream said [ageMillis] ago, since processes have different monotonic clocks. */
+/** What an upstream announced [ageMillis] ago, since processes have different monotonic clocks. */
 @Serializable
 private class UpstreamRateRow(
     val id: String,
