--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
@@ -15,7 +15,15 @@
     context: GatewayContext
 ): GatewayStep {
     val present = routes
-    if (present != null && present.version >= table.version) return Step(this)
+    if (present != null && present.version > table.version) {
+        val ignored = logRecord(
+            LogEvent.GATEWAY_ROUTES_IGNORED,
+            "version" to table.version,
+            "in_force" to present.version
+        )
+        return logged(ignored)
+    }
+    if (present?.version == table.version) return Step(this)
     val record = logRecord(
         LogEvent.GATEWAY_ROUTES_IN_FORCE,
         "version" to table.version,
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -50,6 +50,7 @@
 import org.shallotplank.gateway.store.FollowSettings
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.StoreRow
+import org.shallotplank.gateway.store.TableContents
 import org.shallotplank.gateway.store.TableFollower
 import org.shallotplank.gateway.store.TableReplica
 
@@ -368,10 +369,28 @@
             val follower = followers[table] ?: continue
             val isAnswered = clock.now() - follower.answeredAt < STORE_STALENESS_BOUND
             if (isAnswered || version <= follower.replica.version) continue
-            fetchTable(client, table, TABLE_TIMEOUT)?.let { follower.adopt(it) }
+            fetchTable(client, table, TABLE_TIMEOUT)?.let { adopt(follower, table, it, report) }
         }
     }
 
+    private fun adopt(
+        follower: TableFollower,
+        table: String,
+        contents: TableContents,
+        source: PeerReport
+    ) {
+        log(
+            logRecord(
+                LogEvent.STORE_TABLE_COPIED,
+                "table" to table,
+                "source" to source.instance,
+                "version" to contents.version,
+                "previous" to follower.replica.version
+            )
+        )
+        follower.adopt(contents)
+    }
+
     private fun updateReadiness(now: Instant) {
         val since = staleSince ?: return
         val isComplete = followers.values.all { it.replica.version >= 0 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
@@ -104,7 +104,8 @@
                 channel = null
                 context.close()
             }
-            finish(HttpReply(message.status().code(), body).right())
+            val headers = message.headers().entries().map { it.key to it.value }
+            finish(HttpReply(message.status().code(), body, headers = headers).right())
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpExchange.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpExchange.kt
@@ -42,8 +42,13 @@
 public class HttpReply(
     public val status: Int,
     public val body: ByteArray = ByteArray(0),
-    public val contentType: String = HttpCall.JSON
+    public val contentType: String = HttpCall.JSON,
+    private val headers: List<Pair<String, String>> = emptyList()
 ) {
+    /** The first value of the header [name] in any case, or null. */
+    public fun header(name: String): String? =
+        headers.firstOrNull { it.first.equals(name, ignoreCase = true) }?.second
+
     internal fun message(): FullHttpResponse {
         val content = Unpooled.wrappedBuffer(body)
         val response = DefaultFullHttpResponse(
@@ -53,6 +58,7 @@
         )
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         if (body.isNotEmpty()) response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
+        headers.forEach { (name, value) -> response.headers().set(name, value) }
         return response
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/MetadataStore.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/MetadataStore.kt
@@ -6,8 +6,12 @@
 /** A row of the store; [version] comes from a counter that every transaction advances. */
 public class StoreRow(public val key: String, public val value: String, public val version: Long)
 
-/** A table as of [version]. */
-public class TableContents(public val rows: List<StoreRow>, public val version: Long)
+/** A table as of [version] in [era] of the store; a restored store begins a new era. */
+public class TableContents(
+    public val rows: List<StoreRow>,
+    public val version: Long,
+    public val era: Long = 0
+)
 
 /** Changes of a table up to [version]. */
 public class TableChanges(
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
@@ -66,14 +66,26 @@
     }
 
     private suspend fun poll(): Either<StoreFailure, Boolean> = if (mustReadWhole) {
-        store.read(settings.table).map {
+        store.read(settings.table).map { contents ->
             mustReadWhole = false
-            replica.replace(it)
+            logWholeRead(contents)
+            replica.replace(contents)
         }
     } else {
         store.changes(settings.table, replica.version, settings.wait).map { replica.apply(it) }
     }
 
+    private fun logWholeRead(contents: TableContents) = log(
+        logRecord(
+            LogEvent.STORE_TABLE_READ,
+            "table" to settings.table,
+            "era" to contents.era,
+            "version" to contents.version,
+            "previous" to replica.version,
+            "ignored" to (contents.version < replica.version)
+        )
+    )
+
     private suspend fun onAnswer(startedAt: Instant, isChanged: Boolean) {
         answeredAt = startedAt
         if (failures > 0) {
