Let the departure of an upstream outlast the restoration of the store

A restored store lists upstreams as they were some seconds ago: those that have left since are back until the platform removes them again, and one that was leaving is ready. Entries would send them requests: to nobody, to another service at the same address (421), or to an upstream that is to get none.

The row of an incarnation that had left or was leaving counts in a new era only once it is written again there.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
@@ -49,7 +49,7 @@
     context: GatewayContext
 ): GatewayStep {
     val present = listed.withoutSuperseded()
-        .associateBy { UpstreamKey(it.record.id, it.record.incarnation) }
+        .associateBy { it.record.key }
     val next = upstreams.mutate { map ->
         for ((key, entry) in present) {
             val known = map[key]
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
@@ -51,7 +51,7 @@
     val ownership: UpstreamOwnership? = null,
     val suspects: PersistentSet<Suspect> = persistentSetOf()
 ) {
-    val key: UpstreamKey get() = UpstreamKey(record.id, record.incarnation)
+    val key: UpstreamKey get() = record.key
 
     /** Attempts of all entries that have not ended, as far as this entry knows. */
     val totalOutstanding: Int get() = outstanding + othersOutstanding
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/UpstreamRecord.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/UpstreamRecord.kt
@@ -23,7 +23,10 @@
     val slots: Int,
     val isLeaving: Boolean,
     val group: GroupMembership? = null
-)
+) {
+    /** Identifies this incarnation of the upstream. */
+    public val key: UpstreamKey get() = UpstreamKey(id, incarnation)
+}
 
 /** Membership of an upstream in a rank group of [size] ranks. */
 public data class GroupMembership(val name: String, val rank: Int, val size: Int)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ObservedUpstreams.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ObservedUpstreams.kt
@@ -2,10 +2,12 @@
 
 import arrow.core.Either
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import org.shallotplank.core.gateway.ListedUpstream
+import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.core.gateway.UpstreamRecord
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
@@ -17,7 +19,9 @@
  * The upstreams that the store lists, and those whose rows may have expired during its outage.
  *
  * An upstream whose row is missing is removed at once, unless the store has just returned from an
- * outage; then the upstream is kept until [returnGrace] after the return, to register again.
+ * outage; then the upstream is kept until [returnGrace] after the return, to register again. A
+ * store that was restored may list upstreams as they were before they left; their departure holds
+ * until they are written again.
  */
 internal class ObservedUpstreams(
     private val read: (StoreRow) -> Either<String, UpstreamRecord>,
@@ -28,25 +32,54 @@
 
     private val readByKey = HashMap<String, ReadRow>()
     private val missing = HashMap<String, ListedUpstream>()
+    private var era = 0L
+
+    /** When each recent incarnation was last seen to leave, or was removed. */
+    private val departedAt = HashMap<UpstreamKey, Instant>()
 
     /** Applies the rows of [replica]; the last outage of the store ended at [returnedAt]. */
     fun update(replica: TableReplica, returnedAt: Instant, now: Instant) {
+        val isRestored = replica.revision.era > era
+        era = replica.revision.era
         for (row in replica.rows) {
-            if (readByKey[row.key]?.row == row) continue
-            readByKey[row.key] = ReadRow(row, readOrLog(row))
+            val known = readByKey[row.key]
+            if (known?.row == row) continue
+            val record = readOrLog(row)
+            val isOutdated = isRestored && record?.key in departedAt
+            val wasListed = known?.record?.key == record?.key
+            readByKey[row.key] = ReadRow(
+                row,
+                if (isOutdated) record?.copy(isLeaving = true)?.takeIf { wasListed } else record
+            )
         }
         val gone = readByKey.keys.filter { replica.row(it) == null }
         for (key in gone) {
             val record = readByKey.remove(key)?.record ?: continue
             val mayReturn = now - returnedAt < returnGrace
-            if (mayReturn) missing[key] = ListedUpstream(record, missingSince = returnedAt)
+            if (mayReturn) {
+                missing[key] = ListedUpstream(record, missingSince = returnedAt)
+            } else {
+                departedAt[record.key] = now
+            }
         }
         missing.keys.removeAll { it in readByKey }
+        recordDepartures(now)
+    }
+
+    private fun recordDepartures(now: Instant) {
+        for (record in readByKey.values.mapNotNull { it.record }) {
+            if (record.isLeaving) departedAt[record.key] = now else departedAt -= record.key
+        }
+        departedAt.values.removeAll { now - it > DEPARTURE_MEMORY }
     }
 
     /** Removes missing upstreams whose grace is over; returns whether there were any. */
-    fun expire(now: Instant): Boolean = missing.values.removeAll { entry ->
-        entry.missingSince?.let { now - it >= returnGrace } ?: true
+    fun expire(now: Instant): Boolean {
+        val expired = missing.filterValues { entry ->
+            entry.missingSince?.let { now - it >= returnGrace } ?: true
+        }
+        expired.values.forEach { departedAt[it.record.key] = now }
+        return missing.keys.removeAll(expired.keys)
     }
 
     /** The listed upstreams and the missing ones within their grace. */
@@ -68,4 +101,9 @@
         },
         ifRight = { it }
     )
+
+    private companion object {
+        /** Longer than the age of any copy from which a store is restored. */
+        val DEPARTURE_MEMORY = 60.seconds
+    }
 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/ObservedUpstreamsTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/ObservedUpstreamsTest.kt
@@ -24,12 +24,15 @@
     private val logged = mutableListOf<LogRecord>()
     private val replica = TableReplica()
     private val observed = ObservedUpstreams(
-        read = { row -> if (row.value == "bad") "bad".left() else record(row.key).right() },
+        read = { row ->
+            if (row.value == "bad") "bad".left() else record(row.key, row.value).right()
+        },
         returnGrace = 2.seconds,
         log = { logged += it }
     )
     private val start = Instant.fromEpochMilliseconds(100_000)
     private var version = 0L
+    private var era = 1L
 
     @Nested
     inner class RowsThatVanish {
@@ -68,6 +71,52 @@
         }
     }
 
+    /** Guards against requests to upstreams that had left before the store was restored. */
+    @Nested
+    inner class RowsOfARestoredStore {
+        private val returnedAt = start + 10.seconds
+
+        private fun restore(vararg rows: Pair<String, String>) {
+            era++
+            show(mapOf(*rows), returnedAt, returnedAt)
+        }
+
+        @Test
+        fun `do not bring back upstreams that had left`() {
+            show(listOf("a", "b"), returnedAt = Instant.DISTANT_PAST, now = start)
+            show(listOf("a"), returnedAt = Instant.DISTANT_PAST, now = start + 1.seconds)
+            restore("a" to "good", "b" to "good")
+            assertEquals(listOf("a"), ids())
+        }
+
+        @Test
+        fun `do not make an upstream ready that was leaving`() {
+            val rows = mapOf("a" to "leaving", "b" to "good")
+            show(rows, returnedAt = Instant.DISTANT_PAST, now = start)
+            restore("a" to "good", "b" to "good")
+            assertEquals(listOf("a", "b"), ids())
+            assertEquals(listOf("a"), leaving())
+        }
+
+        @Test
+        fun `list an upstream that had been missing once it is written again`() {
+            show(listOf("a", "b"), returnedAt = Instant.DISTANT_PAST, now = start)
+            show(listOf("a"), returnedAt = Instant.DISTANT_PAST, now = start + 1.seconds)
+            restore("a" to "good", "b" to "good")
+            show(mapOf("a" to "good", "b" to "warm"), returnedAt, returnedAt + 1.seconds)
+            assertEquals(listOf("a", "b"), ids())
+        }
+
+        @Test
+        fun `keep upstreams that the copy lacks until they could register again`() {
+            show(listOf("a", "b"), returnedAt = Instant.DISTANT_PAST, now = start)
+            restore("a" to "good")
+            assertEquals(listOf("a", "b"), ids())
+            observed.expire(returnedAt + 2.seconds)
+            assertEquals(listOf("a"), ids())
+        }
+    }
+
     @Nested
     inner class RowsThatCannotBeRead {
         @Test
@@ -76,7 +125,7 @@
                 replica.replace(
                     TableContents(
                         listOf(StoreRow("a", "good", 1), StoreRow("x", "bad", 2)),
-                        StoreRevision(era = 1, ++version)
+                        StoreRevision(era, ++version)
                     )
                 )
                 observed.update(replica, Instant.DISTANT_PAST, start)
@@ -87,20 +136,27 @@
     }
 
     private fun show(keys: List<String>, returnedAt: Instant, now: Instant) {
-        val rows = keys.map { StoreRow(it, "good", 1) }
-        replica.replace(TableContents(rows, StoreRevision(era = 1, ++version)))
+        show(keys.associateWith { "good" }, returnedAt, now)
+    }
+
+    private fun show(valueByKey: Map<String, String>, returnedAt: Instant, now: Instant) {
+        val rows = valueByKey.map { (key, value) -> StoreRow(key, value, 1) }
+        replica.replace(TableContents(rows, StoreRevision(era, ++version)))
         observed.update(replica, returnedAt, now)
     }
 
+    private fun leaving() =
+        observed.listed().filter { it.record.isLeaving }.map { it.record.id.value }
+
     private fun ids() = observed.listed().map { it.record.id.value }.sorted()
 
-    private fun record(id: String) = UpstreamRecord(
+    private fun record(id: String, value: String) = UpstreamRecord(
         id = InstanceId(id),
         incarnation = 1,
         service = ServiceName("s"),
         address = Address("10.0.0.1", 80),
         zone = ZoneName("z"),
         slots = 4,
-        isLeaving = false
+        isLeaving = value == "leaving"
     )
 }
