Keep rows that a restored store lacks until they can be written again

Rows that were written after the copy are missing for the moment between the return of a restored store and their being written again. Without them a zone that operators had taken out of service got requests, and entries did not count each other: they gave up the shares of bounds and the reports of those whose rows were lost, each entry that had registered since the copy.

Leases are left out of this on purpose.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -72,12 +72,10 @@
     private val log: (LogRecord) -> Unit
 ) {
     private val clock = environment.clock
-    private val upstreams =
-        ObservedUpstreams(
-            schema.readUpstream,
-            settings.toReducerSettings().reregistrationGrace,
-            log
-        )
+
+    /** Time that writers of rows have to write them again after an outage of the store. */
+    private val rewriteGrace = settings.toReducerSettings().reregistrationGrace
+    private val upstreams = ObservedUpstreams(schema.readUpstream, rewriteGrace, log)
     private val peers = Peers(
         group = group,
         own = settings.peerAddress,
@@ -179,12 +177,22 @@
     /** Expires missing upstreams and crashes, updates readiness and advances the keepers. */
     fun tick(now: Instant) {
         if (upstreams.expire(now)) emitUpstreams()
+        forgetLostRows(now)
         crashes.expire(now)
         updateReadiness(now)
         emitPeers()
         keepers.tick(now)
     }
 
+    private fun forgetLostRows(now: Instant) {
+        for ((table, follower) in followers) {
+            val isGraceOver = now - follower.returnedAt >= rewriteGrace
+            if (isGraceOver && follower.replica.forgetLostRows()) {
+                onContact(table, follower.replica, isChanged = true)
+            }
+        }
+    }
+
     private fun upstreamPollInterval(): Duration =
         (UPSTREAM_POLL_INTERVAL_PER_ENTRY * entryLocations.size).coerceIn(
             MIN_UPSTREAM_POLL_INTERVAL,
@@ -304,8 +312,8 @@
     }
 
     /** Rows of entries; the same table also holds those of group leases. */
-    private fun entryRows(): List<StoreRow> =
-        entryReplica().rows.filter { it.key.startsWith(Registration.KEY_PREFIX) }
+    private fun entryRows(): List<StoreRow> = with(entryReplica()) { rows + lostRows }
+        .filter { it.key.startsWith(Registration.KEY_PREFIX) }
 
     private fun entryReplica(): TableReplica = followers.getValue(schema.entryTable).replica
 
@@ -322,7 +330,7 @@
     }
 
     private fun onOperatorRows(replica: TableReplica) {
-        val rows = schema.readOperatorRows(replica.rows)
+        val rows = schema.readOperatorRows(replica.rows + replica.lostRows)
         rows.findings.forEach { finding ->
             log(logRecord(LogEvent.STORE_ROW_UNREADABLE, "row" to "operator", "detail" to finding))
         }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableReplica.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableReplica.kt
@@ -7,6 +7,7 @@
  */
 public class TableReplica {
     private val rowsByKey = LinkedHashMap<String, StoreRow>()
+    private val lostRowsByKey = LinkedHashMap<String, StoreRow>()
 
     /** Revision up to which the copy is complete; [StoreRevision.NONE] before the first read. */
     public var revision: StoreRevision = StoreRevision.NONE
@@ -18,6 +19,13 @@
     /** The rows of the copy. */
     public val rows: Collection<StoreRow> get() = rowsByKey.values
 
+    /**
+     * Rows that the store lost when it was restored and that nobody has written or removed since.
+     *
+     * They are part of the state that the store had confirmed; see [forgetLostRows].
+     */
+    public val lostRows: Collection<StoreRow> get() = lostRowsByKey.values
+
     /** The row with [key], or null. */
     public fun row(key: String): StoreRow? = rowsByKey[key]
 
@@ -28,6 +36,8 @@
     /** Replaces the copy by [contents] unless they are older; returns whether a row changed. */
     public fun replace(contents: TableContents): Boolean {
         if (contents.revision < revision) return false
+        if (contents.revision.era > revision.era) lostRowsByKey += rowsByKey
+        contents.rows.forEach { lostRowsByKey -= it.key }
         revision = contents.revision
         val isSame = contents.rows.size == rowsByKey.size &&
             contents.rows.all { rowsByKey[it.key] == it }
@@ -43,13 +53,22 @@
         revision = changes.revision
         var isChanged = false
         for (row in changes.changed) {
+            lostRowsByKey -= row.key
             if ((rowsByKey[row.key]?.version ?: -1) >= row.version) continue
             rowsByKey[row.key] = row
             isChanged = true
         }
         for (key in changes.removedKeys) {
-            if (rowsByKey.remove(key) != null) isChanged = true
+            val wasLost = lostRowsByKey.remove(key) != null
+            if (rowsByKey.remove(key) != null || wasLost) isChanged = true
         }
         return isChanged
     }
+
+    /** Forgets the [lostRows], whose writers have had the time to write them again. */
+    public fun forgetLostRows(): Boolean {
+        val hadLostRows = lostRowsByKey.isNotEmpty()
+        lostRowsByKey.clear()
+        return hadLostRows
+    }
 }
