Register an entry again whose row is gone

An entry whose row somebody deleted, or that a restored store lacked, never wrote it again: a write that expected no row counted as done, and the next one would have expected the same. Other entries found it only by its reports to their seeds.

The revision that the store returns for the write tells when the copy of the table should show it; after that a row that is missing is gone.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/Registration.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/Registration.kt
@@ -23,7 +23,7 @@
 ) {
     private val key = keyOf(instance)
     private val value = Json.encodeToString(row)
-    private var replacedRevision: StoreRevision? = null
+    private var writtenAt: StoreRevision? = null
 
     /** Writes the row whenever it is missing while [isActive], once the table was first read. */
     suspend fun keep(replica: () -> TableReplica, isActive: () -> Boolean) {
@@ -37,10 +37,9 @@
     /** Writes the row if [replica] does not show it. */
     suspend fun ensure(replica: TableReplica) {
         if (replica.row(key)?.value == value) return
-        val expected = replica.revisionOf(key)
-        if (replacedRevision == expected) return
-        val isDone = store.write(table, key, value, expected).isRight()
-        replacedRevision = expected.takeIf { isDone }
+        // Until the copy has reached the last write, it does not tell whether the row is missing.
+        if (writtenAt?.let { replica.revision < it } == true) return
+        writtenAt = store.write(table, key, value, replica.revisionOf(key)).getOrNull()
     }
 
     /** Deletes the row, if [replica] shows it. */
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/SingleTableStore.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/SingleTableStore.kt
@@ -20,6 +20,21 @@
 
     val keys: List<String> get() = replica.rows.map { it.key }
 
+    /** Removes the row with [key]. */
+    fun remove(key: String) {
+        val next = replica.revision.copy(version = replica.revision.version + 1)
+        replica.apply(TableChanges(emptyList(), listOf(key), next))
+    }
+
+    /** The table as of now. */
+    fun copy(): TableContents = TableContents(replica.rows.toList(), replica.revision)
+
+    /** Returns to [copy] in a new era. */
+    fun restore(copy: TableContents) {
+        val revision = StoreRevision(replica.revision.era + 1, copy.revision.version)
+        replica.replace(TableContents(copy.rows, revision))
+    }
+
     override suspend fun read(table: String): Either<StoreFailure, TableContents> =
         StoreFailure.HistoryGone.left()
 
