End the leases of rank groups with the era of the store

A lease in a restored store may be older than one that was claimed after the copy. Its next term was counted on from the row: the term, and with it the fencing numbers of holder and deputies, was given out a second time, while ranks keep the highest number that they have seen. Where ranks check none, an entry that saw a holder gone in the copy took over at once, beside a holder that only the lost history knows.

Each era has a range of terms of its own, above those of all earlier eras. A lease below the range of the present era has ended: nobody keeps its group until it is claimed anew, and the first claim of an era waits until any lost holder may issue no more orders, where ranks do not check fences. A change in progress is completed within the time that this leaves. A claim also exceeds each term that the entry has seen.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -51,6 +51,9 @@
  * entries both issue orders for a group, its ranks refuse those with the lower fencing number.
  * Where ranks do not check fencing numbers, there are no deputies, and [LeaseGuard] keeps two lease
  * holders from issuing orders at the same time.
+ *
+ * A lease ends with the era of the store in which it was claimed: if the store is restored from a
+ * copy, later holders than the one in the copy may exist.
  */
 internal class GroupKeepers(
     private val context: KeeperContext,
@@ -65,7 +68,12 @@
     private val claimedAt = HashMap<String, Instant>()
     private val heldLeases = HashMap<String, HeldLease>()
     private val lastSeenHolders = HashMap<String, KeeperCandidate?>()
+
+    /** Era of the store in which each lease was last valid. */
+    private val lastSeenEras = HashMap<String, Long>()
+    private val endedLeasesSeenAt = HashMap<String, Instant>()
     private val terms = HashMap<String, Long>()
+    private val highestTerms = HashMap<String, Long>()
     private var checkedAt: Instant = Instant.DISTANT_PAST
 
     /** Entries that served at the last check. */
@@ -117,14 +125,20 @@
     }
 
     private fun check(name: String, group: KnownGroup, now: Instant) {
-        val row = context.replica().row(KEY_PREFIX + name)
-        val lease = row?.let { decode(it.value) }?.let(::withAllowedDeputies)
-        recordHeldLease(name, lease, now)
-        if (lease == null) terms.remove(name) else terms[name] = lease.term
+        val replica = context.replica()
+        val stored = replica.row(KEY_PREFIX + name)?.let { decode(it.value) }
+        val lease = stored?.takeIf { it.isOfEra(replica.revision.era) }?.let(::withAllowedDeputies)
+        // A group without any lease is new, unlike one whose lease ended with its era.
+        val isLeaseEnded = stored != null && lease == null
+        val lastEra =
+            lastSeenEras.getOrPut(name) { if (isLeaseEnded) UNKNOWN_ERA else replica.revision.era }
+        if (lease != null) lastSeenEras[name] = replica.revision.era
+        recordHeldLease(name, lease, isFirstOfEra = lastEra != replica.revision.era, now)
+        recordTerm(name, lease, now)
         val fence = lease?.fenceOf(context.own, serving)
         val keeper = running[name]
         if (lease == null || fence == null) {
-            stopUnlessChanging(name)
+            if (mayChangeContinue(name, now)) stopUnlessChanging(name) else stopNow(name)
             val isServed = lease?.isServed(serving) == true
             if (!isServed && context.own == preferred(name) && mayClaimFrom(lease, name, now)) {
                 claim(name, lease, now)
@@ -151,20 +165,53 @@
     private fun withAllowedDeputies(lease: GroupLease): GroupLease =
         if (context.guard.areFencesChecked) lease else lease.copy(deputies = emptyList())
 
-    private fun recordHeldLease(name: String, lease: GroupLease?, now: Instant) {
+    private fun recordHeldLease(
+        name: String,
+        lease: GroupLease?,
+        isFirstOfEra: Boolean,
+        now: Instant
+    ) {
         if (lease == null || !lease.isHeldBy(context.own)) {
             heldLeases.remove(name)
         } else if (heldLeases[name]?.term != lease.term) {
-            heldLeases[name] = HeldLease(lease.term, firstSeenAt = now, lastSeenHolders[name])
+            heldLeases[name] = HeldLease(
+                term = lease.term,
+                firstSeenAt = now,
+                previousHolder = lastSeenHolders[name],
+                isPreviousHolderKnown = !isFirstOfEra
+            )
         }
         lastSeenHolders[name] = lease?.leaseHolder
     }
 
+    private fun recordTerm(name: String, lease: GroupLease?, now: Instant) {
+        if (lease == null) {
+            terms.remove(name)
+            endedLeasesSeenAt.getOrPut(name) { now }
+            return
+        }
+        terms[name] = lease.term
+        highestTerms[name] = maxOf(lease.term, highestTerms[name] ?: 0)
+        endedLeasesSeenAt.remove(name)
+    }
+
+    /**
+     * Whether a change in progress may be completed although the entry is not the group's keeper.
+     *
+     * Where ranks do not check fences, a change under a lease that has ended must be over before
+     * [LeaseGuard] lets the next holder start.
+     */
+    private fun mayChangeContinue(name: String, now: Instant): Boolean {
+        if (context.guard.areFencesChecked) return true
+        val endedAt = endedLeasesSeenAt[name] ?: return true
+        return now - endedAt < CHANGE_COMPLETION_TIME
+    }
+
     private fun mayKeep(name: String): Boolean {
         val heldLease = heldLeases[name] ?: return context.guard.areFencesChecked
         if (!context.guard.mayIssueOrders(name)) return false
         if (!heldLease.isTakeoverAllowed) {
-            val isPreviousHolderGone =
+            val isPreviousHolderGone = heldLease.isPreviousHolderKnown &&
                 heldLease.previousHolder?.let { context.hasRelinquished(it, name) } ?: true
             heldLease.isTakeoverAllowed =
                 context.guard.mayTakeOver(heldLease.firstSeenAt, isPreviousHolderGone)
@@ -236,7 +283,12 @@
     private fun claim(name: String, lease: GroupLease?, now: Instant) {
         val last = claimedAt[name]
         if (last != null && now - last < CLAIM_INTERVAL) return
-        val next = GroupLease(context.own.instance, context.own.incarnation, (lease?.term ?: 0) + 1)
+        val highestTerm = maxOf(
+            lease?.term ?: 0,
+            highestTerms[name] ?: 0,
+            GroupLease.lastTermBefore(context.replica().revision.era)
+        )
+        val next = GroupLease(context.own.instance, context.own.incarnation, highestTerm + 1)
             .withDeputies(serving)
             .let(::withAllowedDeputies)
         write(name, lease, next, now)
@@ -325,7 +377,9 @@
     private class HeldLease(
         val term: Long,
         val firstSeenAt: Instant,
-        val previousHolder: KeeperCandidate?
+        val previousHolder: KeeperCandidate?,
+        /** False if there may be a holder after [previousHolder] that a restored store lost. */
+        val isPreviousHolderKnown: Boolean
     ) {
         /**
          * Whether this entry may keep the group after the previous holder.
@@ -348,6 +402,11 @@
         /** An order is answered or abandoned within 320 ms. */
         private val MAX_ORDER_TIME = 400.milliseconds
 
+        private const val UNKNOWN_ERA = -1L
+
+        /** With [MAX_ORDER_TIME] less than [LeaseGuard] adds to the validity of a lease. */
+        private val CHANGE_COMPLETION_TIME = 500.milliseconds
+
         /** Lets a claim appear in the table copy first, since each call to the store is billed. */
         private val CLAIM_INTERVAL = 1.seconds
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupLease.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupLease.kt
@@ -24,6 +24,9 @@
  * holder and each deputy have a range of fencing numbers, a deputy's above those of the holder and
  * of all deputies in lower slots. If entries disagree about who serves, ranks therefore refuse the
  * lower fencing number, as they do for the holders of two terms.
+ *
+ * Each era of the store has a range of terms of its own, since a store that was restored from a
+ * copy has lost the terms after it, whose fencing numbers the ranks have seen.
  */
 @Serializable
 internal data class GroupLease(
@@ -34,6 +37,9 @@
 ) {
     val leaseHolder: KeeperCandidate get() = KeeperCandidate(holder, incarnation)
 
+    /** Whether the lease was claimed in [era] of the store or later. */
+    fun isOfEra(era: Long): Boolean = term > lastTermBefore(era)
+
     /** Whether [candidate] is the lease holder; a later incarnation of that entry is not. */
     fun isHeldBy(candidate: KeeperCandidate): Boolean = candidate == leaseHolder
 
@@ -87,5 +93,9 @@
         /** Size of the range of a holder or deputy, which uses one per change that it undoes. */
         private const val FENCES_PER_SLOT = 500L
         private const val LAST_SLOT = (GroupKeeper.FENCES_PER_LEASE / FENCES_PER_SLOT - 1).toInt()
+        private const val TERMS_PER_ERA = 1_000_000L
+
+        /** The last term that can have been given out before [era] of the store. */
+        fun lastTermBefore(era: Long): Long = era * TERMS_PER_ERA
     }
 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.Address
 import org.shallotplank.core.ConfigurationVersion
@@ -36,6 +37,7 @@
 import org.shallotplank.core.gateway.UpstreamRecord
 import org.shallotplank.core.gateway.UpstreamService
 import org.shallotplank.gateway.group.GroupKeepers
+import org.shallotplank.gateway.group.GroupLease
 import org.shallotplank.gateway.group.KeeperCandidate
 import org.shallotplank.gateway.group.KeeperContext
 import org.shallotplank.gateway.group.LeaseGuard
@@ -44,6 +46,7 @@
 import org.shallotplank.gateway.group.RankExperts
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.group.RunningKeeper
+import org.shallotplank.gateway.store.TableReplica
 
 /**
  * Hand-over of a rank group's keeper between entries whose ranks do not check fences.
@@ -224,10 +227,59 @@
         }
     }
 
+    /** Guards against terms given out twice, and holders that the store has lost. */
+    @Nested
+    inner class AStoreThatIsRestored {
+        private fun term(): Long = Json.decodeFromString<GroupLease>(checkNotNull(holder())).term
+
+        @Test
+        fun `gives out no term again`() {
+            advance(3.seconds)
+            val copy = store.copy()
+            val terms = mutableListOf(term())
+            repeat(2) {
+                checkNotNull(keeper()).stop()
+                advance(1.seconds)
+                terms += term()
+            }
+            entries.forEach { it.isStopping = false }
+            store.restore(copy)
+            advance(2.seconds)
+            assertTrue(term() > terms.max(), "term ${term()} after $terms")
+        }
+
+        @Test
+        fun `gets a keeper again in time`() {
+            advance(3.seconds)
+            store.restore(store.copy())
+            advance(7.seconds)
+            assertTrue(keeper() != null)
+        }
+
+        @Test
+        fun `gets none while one that its copy does not know may issue orders`() {
+            advance(3.seconds)
+            val copy = store.copy()
+            val first = checkNotNull(keeper())
+            first.stop()
+            advance(1.seconds)
+            val second = checkNotNull(keeper())
+            second.cutOff()
+            store.restore(copy)
+            repeat(160) {
+                advance(50.milliseconds)
+                keeper()
+            }
+            assertEquals(entries.single { it != first && it != second }, keeper())
+        }
+    }
+
     private inner class Entry(val own: KeeperCandidate) {
         var isRunning = true
         var isStopping = false
         var isReachable = true
+        private var cutOffAt: Instant? = null
+        private var lastRead: TableReplica? = null
         var hasRestarted = false
         var readySince = Instant.DISTANT_PAST
         val port = CountingPort()
@@ -237,7 +289,7 @@
                 candidates = ::candidates,
                 state = { current.copy(isStopping = isStopping, readySince = readySince) },
                 table = "t",
-                replica = { store.replica },
+                replica = { lastRead ?: store.replica },
                 hasRelinquished = { candidate, group ->
                     entries.any { it.own == candidate && it.isKnownToHaveRelinquished(group) }
                 },
@@ -245,7 +297,7 @@
                     areFencesChecked = false,
                     clock = clock,
                     wallClock = clock,
-                    confirmedAt = { now }
+                    confirmedAt = { cutOffAt ?: now }
                 ),
                 delegateHold = { OrderOutcome.NO_ANSWER },
                 clock = clock,
@@ -260,6 +312,13 @@
             isStopping = true
         }
 
+        /** Separates the entry from the store and from the other entries. */
+        fun cutOff() {
+            isReachable = false
+            cutOffAt = now
+            lastRead = TableReplica().also { it.replace(store.copy()) }
+        }
+
         fun isKnownToHaveRelinquished(group: String): Boolean =
             hasRestarted || (isReachable && group in keepers.relinquishedGroups)
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
@@ -13,6 +14,7 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.gateway.ObservedRate
@@ -20,6 +22,8 @@
 import org.shallotplank.core.quarantine.PartQuarantine
 import org.shallotplank.core.quarantine.PromptCrash
 import org.shallotplank.core.quarantine.PromptPart
+import org.shallotplank.gateway.group.GroupLease
+import org.shallotplank.gateway.group.KeeperCandidate
 import org.shallotplank.gateway.peer.PROMPT_CRASHES
 import org.shallotplank.gateway.peer.PeerReport
 import org.shallotplank.gateway.peer.RowCopy
@@ -128,6 +132,31 @@
         }
     }
 
+    /** Guards against leases that no longer can be handed over between builds. */
+    @Nested
+    inner class Leases {
+        private val term = GroupLease.lastTermBefore(era = 2) + 1
+        private val lease =
+            GroupLease("e1", 11, term).withDeputies(listOf(KeeperCandidate("e2", 21)))
+
+        @Test
+        fun `of this build are read by build 4c2d8cf, whose next term is of the same era`() {
+            val old = Json.decodeFromString<GroupLease4c2d8cf>(Json.encodeToString(lease))
+            assertEquals(term, old.term)
+            assertEquals(1, old.deputies.single().slot)
+            assertTrue(lease.copy(term = old.term + 1).isOfEra(2))
+        }
+
+        @Test
+        fun `of build 4c2d8cf are read by this build, and end with their era`() {
+            val old = GroupLease4c2d8cf("e1", 11, 3, listOf(Deputy4c2d8cf("e2", 21, 1)))
+            val decoded = Json.decodeFromString<GroupLease>(Json.encodeToString(old))
+            assertEquals(lease.copy(term = 3), decoded)
+            assertTrue(decoded.isOfEra(0))
+            assertFalse(decoded.isOfEra(1))
+        }
+    }
+
     @Nested
     inner class TheTableOfCrashes {
         private fun decode(rows: List<RowCopy>) = crashes(PartQuarantine())
@@ -226,5 +255,17 @@
 @Serializable
 private class SlowRank4c2d8cf(val id: String, @SerialName("pace") val slowdown: Double)
 
+/** The lease row of build 4c2d8cf, which rejects unknown fields. */
+@Serializable
+private class GroupLease4c2d8cf(
+    val holder: String,
+    val incarnation: Long,
+    val term: Long,
+    val deputies: List<Deputy4c2d8cf> = emptyList()
+)
+
+@Serializable
+private class Deputy4c2d8cf(val instance: String, val incarnation: Long, val slot: Int)
+
 @Serializable
 private class Lease4c2d8cf(val group: String, val term: Long)
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/TableReplicaTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/TableReplicaTest.kt
@@ -41,7 +41,7 @@
         }
     }
 
-    /** Guards against zones put back in service, and entries forgotten, when a store is restored. */
+    /** Guards against zones back in service and forgotten entries after a restoration. */
     @Nested
     inner class RowsThatARestoredStoreLacks {
         @Test
