--- a/core/src/main/kotlin/org/shallotplank/core/Instance.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/Instance.kt
@@ -32,11 +32,15 @@
         /** Parses an IPv4 address and port such as `10.0.0.1:8080`; returns null for other text. */
         public fun parseOrNull(text: String): Address? {
             val host = text.substringBeforeLast(':', missingDelimiterValue = "")
-            val port = text.substringAfterLast(':').toIntOrNull()?.takeIf { it in 1..MAX_PORT }
-            val parts = host.split('.').map { it.toIntOrNull() }
+            val port = parseNumber(text.substringAfterLast(':'))?.takeIf { it in 1..MAX_PORT }
+            val parts = host.split('.').map { parseNumber(it) }
             val isNumber = parts.size == IPV4_PARTS && parts.all { it in 0..MAX_PART }
             return if (port != null && isNumber) Address(host, port) else null
         }
+
+        /** Unlike [toIntOrNull], accepts no sign, which would make the host a name to look up. */
+        private fun parseNumber(text: String): Int? =
+            text.toIntOrNull()?.takeIf { text.all { digit -> digit in '0'..'9' } }
     }
 }
 
