Go on following a table after a reader of it fails

An exception while a state of a table was handled ended the coroutine that follows it: the entry served on with what it had, and never learned of a change again. It is logged as SP9006 now, and the table is followed on.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
@@ -54,14 +55,27 @@
     /** Polls the table until the coroutine is cancelled. */
     public suspend fun run() {
         while (true) {
-            val startedAt = clock.now()
-            when (val outcome = poll()) {
-                is Either.Left -> onFailure(outcome.value)
-                is Either.Right -> onAnswer(startedAt, outcome.value)
+            try {
+                pollOnce()
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                // A reader that fails on one state of the table may read the next one.
+                val place = e.stackTrace.firstOrNull()
+                log(logRecord(LogEvent.INTERNAL_ERROR, "error" to e, "place" to place))
+                delay(backoff(MAX_DOUBLINGS))
             }
         }
     }
 
+    private suspend fun pollOnce() {
+        val startedAt = clock.now()
+        when (val outcome = poll()) {
+            is Either.Left -> onFailure(outcome.value)
+            is Either.Right -> onAnswer(startedAt, outcome.value)
+        }
+    }
+
     /** Replaces the copy with [contents] from another process if those are newer. */
     public fun adopt(contents: TableContents) {
         if (contents.revision > replica.revision) onContact(replica, replace(contents))
