End each request with an answer when an entry stops as planned

Once the stop has been announced, a request is accepted only if its deadline is before the end of the service; any other is refused at once with 503 and a Retry-After of 0, since another entry can take it. At the end of the service what waits is answered 503, what was sent 502 (it may have run), and only a stream that has begun is broken off. A margin for these answers comes out of the one for closing connections.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -67,6 +67,9 @@
     if (isQuarantined(call, context.now)) {
         return refuse(call, GatewayRefusal.QUARANTINED, QUARANTINE_RETRY_AFTER)
     }
+    if (mayOutlastService(call, context)) {
+        return refuse(call, GatewayRefusal.STOPPING, retryAfter = Duration.ZERO)
+    }
     val startBy = startBy(call, context)
     reasonNotToWait(call, startBy, context)?.let { reason ->
         return refuse(call, reason, retryAfterFor(call.service, context))
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
@@ -81,5 +81,8 @@
     UPSTREAM_LOST,
 
     /** The caller's deadline or the route's timeout passed. */
-    TIMED_OUT
+    TIMED_OUT,
+
+    /** The entry stops before the request could end; another entry can take it. */
+    STOPPING
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -24,6 +24,7 @@
     } else {
         val suggested = when (reason) {
             GatewayRefusal.QUARANTINED -> QUARANTINE_RETRY_AFTER
+            GatewayRefusal.STOPPING -> Duration.ZERO
             else -> retryAfterFor(call.service, context)
         }
         val retryAfter = suggested.takeIf { !call.mayHaveRun }
@@ -109,9 +110,10 @@
 internal fun GatewayState.onTick(context: GatewayContext): GatewayStep {
     val overdue = calls.values.filter { context.now >= it.deadline + slackOf(it) }
     val ended = overdue.fold(GatewayStep(this)) { step, call ->
-        step.then { it.endOverdue(call, context) }
+        step.then { it.endOpen(call, GatewayRefusal.TIMED_OUT, context) }
     }
-    return ended.then { it.clearDeliveredParts(context) }
+    return ended.then { it.endServiceIfDue(context) }
+        .then { it.clearDeliveredParts(context) }
         .then { it.expirePartQuarantine(context.now) }
         .then { it.expireEarlyRequests(context) }
         .then { it.resizeQueues(context) }
@@ -120,12 +122,17 @@
 private fun slackOf(call: GatewayCall): Duration =
     if (call.isCallersDeadline) CALLER_DEADLINE_SLACK else Duration.ZERO
 
-private fun GatewayState.endOverdue(call: GatewayCall, context: GatewayContext): GatewayStep {
+/** Ends a call that may be queued or sent, because of [reason]. */
+internal fun GatewayState.endOpen(
+    call: GatewayCall,
+    reason: GatewayRefusal,
+    context: GatewayContext
+): GatewayStep {
     val known = calls[call.request.id] ?: return Step(this)
     val isSent = known.phase is GatewayPhase.Sent
     val late = known.copy(mayHaveRun = known.mayHaveRun || isSent)
     return cancelAttempt(known).then {
-        it.endWithoutAnswer(late, GatewayRefusal.TIMED_OUT, context)
+        it.endWithoutAnswer(late, reason, context)
     }
 }
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -1,6 +1,7 @@
 package org.shallotplank.core.gateway
 
 import kotlin.time.Duration
+import kotlin.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
@@ -143,7 +144,12 @@
     public data class SettingsChanged(val settings: GatewaySettings) : GatewayEvent
 
     /** The process was asked to stop. */
-    public data object StopRequested : GatewayEvent
+    public data class StopRequested(
+        /** From then on only requests that end before [serviceEndsAt] are accepted. */
+        val admissionEndsAt: Instant,
+        /** When the requests that are still open end without an upstream's answer. */
+        val serviceEndsAt: Instant
+    ) : GatewayEvent
 
     /** Periodic timer tick, on which deadlines and queues are checked. */
     public data object Tick : GatewayEvent
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
@@ -39,7 +39,7 @@
         is GatewayEvent.ReadinessChanged ->
             onReadinessChanged(event.isReady, context)
         is GatewayEvent.SettingsChanged -> Step(copy(settings = event.settings))
-        GatewayEvent.StopRequested -> Step(copy(isStopping = true))
+        is GatewayEvent.StopRequested -> Step(copy(plannedStop = event))
         GatewayEvent.Tick -> onTick(context)
     }
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
@@ -25,6 +25,7 @@
  *
  * @property isReady whether the observed state is fresh enough to act on.
  * @property readySince when the entry last became ready.
+ * @property plannedStop the times of the planned stop, null unless the process was asked to stop.
  * @property earlyRequests requests that arrived before the entry was ready, in order of arrival.
  * @property outOfService zones whose upstreams receive no requests.
  * @property entryCount number of entries that may be running, by which global limits are divided.
@@ -38,7 +39,7 @@
     val routes: RouteTable? = null,
     val isReady: Boolean = false,
     val readySince: Instant = Instant.DISTANT_PAST,
-    val isStopping: Boolean = false,
+    val plannedStop: GatewayEvent.StopRequested? = null,
     val earlyRequests: PersistentList<GatewayRequest> = persistentListOf(),
     val calls: PersistentMap<RequestId, GatewayCall> = persistentMapOf(),
     val upstreams: PersistentMap<UpstreamKey, GatewayUpstream> = persistentMapOf(),
@@ -53,6 +54,9 @@
     val servingEntries: PersistentSet<InstanceId> = persistentSetOf(),
     val notices: PersistentMap<UpstreamKey, ObservedNotice> = persistentMapOf()
 ) {
+    /** Whether the process was asked to stop. */
+    public val isStopping: Boolean get() = plannedStop != null
+
     /** Number of open attempts of this entry, by upstream. */
     public val inFlight: Map<UpstreamKey, Int>
         get() = upstreams.values.filter { it.outstanding > 0 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
@@ -135,13 +135,19 @@
     private suspend fun drain() {
         val startedAt = clock.now()
         log(logRecord(LogEvent.PROCESS_DRAINING, "open_requests" to exchanges.openCount))
-        exchanges.emit(GatewayEvent.StopRequested)
+        val announceTime = DRAIN_ANNOUNCE_TIME.coerceAtMost(settings.stopGrace / 2)
+        val end = startedAt + settings.stopGrace - EXIT_MARGIN
+        exchanges.emit(
+            GatewayEvent.StopRequested(
+                admissionEndsAt = startedAt + announceTime,
+                serviceEndsAt = end
+            )
+        )
         // The entry stays registered meanwhile: it serves requests and may finish a group change.
-        delay(DRAIN_ANNOUNCE_TIME.coerceAtMost(settings.stopGrace / 2))
+        delay(announceTime)
         scope.launch { clusterView.unregister() }
         exchanges.closeIdle()
-        val end = startedAt + settings.stopGrace - EXIT_MARGIN
-        while (exchanges.openCount > 0 && clock.now() < end) {
+        while (exchanges.openCount > 0 && clock.now() < end + LAST_ANSWERS_TIME) {
             delay(TICK)
             exchanges.closeIdle()
         }
@@ -185,6 +191,9 @@
 
         /** Reserved at the end of the stop grace for closing connections. */
         val EXIT_MARGIN = 700.milliseconds
+
+        /** Time for the answers to requests that are still open at the end of the service. */
+        val LAST_ANSWERS_TIME: Duration = TICK * 4
         val FLUSH = 100.milliseconds
     }
 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
@@ -12,6 +12,7 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.gateway.CallerLimits
 import org.shallotplank.core.gateway.GatewayEvent
@@ -306,7 +307,8 @@
         @Test
         fun `serves new requests and closes each connection after its answer`() {
             val gateway = gateway(upstream())
-            gateway.emit(GatewayEvent.StopRequested)
+            val never = Instant.DISTANT_FUTURE
+            gateway.emit(GatewayEvent.StopRequested(admissionEndsAt = never, serviceEndsAt = never))
             val reply = gateway.exchange(request("safe", close = false))
             assertContains(reply, "connection: close", ignoreCase = true)
             assertTrue(reply.endsWith("ok"))
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -28,6 +28,7 @@
 import org.shallotplank.core.expertmap.RankOrder
 import org.shallotplank.core.expertmap.RankReport
 import org.shallotplank.core.gateway.EngineProfile
+import org.shallotplank.core.gateway.GatewayEvent
 import org.shallotplank.core.gateway.GatewaySettings
 import org.shallotplank.core.gateway.GatewayState
 import org.shallotplank.core.gateway.GatewayUpstream
@@ -287,7 +288,12 @@
             context = KeeperContext(
                 own = own,
                 candidates = ::candidates,
-                state = { current.copy(isStopping = isStopping, readySince = readySince) },
+                state = {
+                    current.copy(
+                        plannedStop = plannedStop.takeIf { isStopping },
+                        readySince = readySince
+                    )
+                },
                 table = "t",
                 replica = { lastRead ?: store.replica },
                 hasRelinquished = { candidate, group ->
@@ -384,6 +390,8 @@
 
     private companion object {
         val TICK = 50.milliseconds
+        val plannedStop =
+            GatewayEvent.StopRequested(Instant.DISTANT_FUTURE, Instant.DISTANT_FUTURE)
         val service = ServiceName("s")
         val placement = PlacementProfile(
             layers = 1,
