Keep what is observed of a lease in one class

GroupKeepers had a map for each thing that it knows of a group's lease; they are fields of ObservedLease now. Copies of tables are logged where they are adopted, and no more when they turn out not to be newer. A copy from another entry gets its era where that is known. Same decisions.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -51,6 +51,7 @@
 import org.shallotplank.gateway.peer.upstreamRateTable
 import org.shallotplank.gateway.store.FollowSettings
 import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.StoreRevision
 import org.shallotplank.gateway.store.StoreRow
 import org.shallotplank.gateway.store.TableContents
 import org.shallotplank.gateway.store.TableFollower
@@ -378,28 +379,23 @@
         for ((table, follower) in followers) {
             val offered = report.revisionOf(table) ?: continue
             val isAnswered = clock.now() - follower.answeredAt < STORE_STALENESS_BOUND
-            if (isAnswered || offered <= follower.replica.revision) continue
-            fetchTable(client, table, offered.era, TABLE_TIMEOUT)
-                ?.let { adopt(follower, table, it, report) }
+            if (!isAnswered && offered > follower.replica.revision) {
+                adopt(follower, table, offered.era, report.instance, client)
+            }
         }
     }
 
-    private fun adopt(
+    private suspend fun adopt(
         follower: TableFollower,
         table: String,
-        contents: TableContents,
-        source: PeerReport
+        era: Long,
+        source: String,
+        client: HttpClient
     ) {
-        log(
-            logRecord(
-                LogEvent.STORE_TABLE_COPIED,
-                "table" to table,
-                "source" to source.instance,
-                "revision" to contents.revision,
-                "previous" to follower.replica.revision
-            )
-        )
-        follower.adopt(contents)
+        val copy = fetchTable(client, table, TABLE_TIMEOUT) ?: return
+        // If the source has reached a later era meanwhile, the rows are newer than they seem.
+        val contents = TableContents(copy.storeRows(), StoreRevision(era, copy.version))
+        follower.adopt(contents, source)
     }
 
     private fun updateReadiness(now: Instant) {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ObservedUpstreams.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ObservedUpstreams.kt
@@ -46,11 +46,8 @@
             if (known?.row == row) continue
             val record = readOrLog(row)
             val isOutdated = isRestored && record?.key in departedAt
-            val wasListed = known?.record?.key == record?.key
-            readByKey[row.key] = ReadRow(
-                row,
-                if (isOutdated) record?.copy(isLeaving = true)?.takeIf { wasListed } else record
-            )
+            val applied = if (isOutdated) record?.departedSince(known?.record) else record
+            readByKey[row.key] = ReadRow(row, applied)
         }
         val gone = readByKey.keys.filter { replica.row(it) == null }
         for (key in gone) {
@@ -88,6 +85,10 @@
         return (present + missing.values).toPersistentList()
     }
 
+    /** The record of an upstream that has left since; null unless it is still [listed]. */
+    private fun UpstreamRecord.departedSince(listed: UpstreamRecord?): UpstreamRecord? =
+        copy(isLeaving = true).takeIf { key == listed?.key }
+
     private fun readOrLog(row: StoreRow): UpstreamRecord? = read(row).fold(
         ifLeft = { detail ->
             val record = logRecord(
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -66,21 +66,16 @@
     /** When this process last stopped keeping each group. */
     private val endedAt = HashMap<String, Instant>()
     private val claimedAt = HashMap<String, Instant>()
-    private val heldLeases = HashMap<String, HeldLease>()
-    private val lastSeenHolders = HashMap<String, KeeperCandidate?>()
-
-    /** Era of the store in which each lease was last valid. */
-    private val lastSeenEras = HashMap<String, Long>()
-    private val endedLeasesSeenAt = HashMap<String, Instant>()
-    private val terms = HashMap<String, Long>()
-    private val highestTerms = HashMap<String, Long>()
+    private val observedLeases = HashMap<String, ObservedLease>()
     private var checkedAt: Instant = Instant.DISTANT_PAST
 
     /** Entries that served at the last check. */
     private var serving: Collection<KeeperCandidate> = emptyList()
 
     /** Last observed terms of the leases, by group. */
-    val knownTerms: Map<String, Long> get() = terms
+    val knownTerms: Map<String, Long>
+        get() = observedLeases.mapNotNull { (name, lease) -> lease.term?.let { name to it } }
+            .toMap()
 
     /**
      * Groups that this process has kept and will not keep again, because it is stopping.
@@ -126,15 +121,10 @@
 
     private fun check(name: String, group: KnownGroup, now: Instant) {
         val replica = context.replica()
+        val era = replica.revision.era
         val stored = replica.row(KEY_PREFIX + name)?.let { decode(it.value) }
-        val lease = stored?.takeIf { it.isOfEra(replica.revision.era) }?.let(::withAllowedDeputies)
-        // A group without any lease is new, unlike one whose lease ended with its era.
-        val isLeaseEnded = stored != null && lease == null
-        val lastEra =
-            lastSeenEras.getOrPut(name) { if (isLeaseEnded) UNKNOWN_ERA else replica.revision.era }
-        if (lease != null) lastSeenEras[name] = replica.revision.era
-        recordHeldLease(name, lease, isFirstOfEra = lastEra != replica.revision.era, now)
-        recordTerm(name, lease, now)
+        val lease = stored?.takeIf { it.isOfEra(era) }?.let(::withAllowedDeputies)
+        observedLease(name).record(lease, era, isEnded = stored != null && lease == null, now)
         val fence = lease?.fenceOf(context.own, serving)
         val keeper = running[name]
         if (lease == null || fence == null) {
@@ -165,35 +155,8 @@
     private fun withAllowedDeputies(lease: GroupLease): GroupLease =
         if (context.guard.areFencesChecked) lease else lease.copy(deputies = emptyList())
 
-    private fun recordHeldLease(
-        name: String,
-        lease: GroupLease?,
-        isFirstOfEra: Boolean,
-        now: Instant
-    ) {
-        if (lease == null || !lease.isHeldBy(context.own)) {
-            heldLeases.remove(name)
-        } else if (heldLeases[name]?.term != lease.term) {
-            heldLeases[name] = HeldLease(
-                term = lease.term,
-                firstSeenAt = now,
-                previousHolder = lastSeenHolders[name],
-                isPreviousHolderKnown = !isFirstOfEra
-            )
-        }
-        lastSeenHolders[name] = lease?.leaseHolder
-    }
-
-    private fun recordTerm(name: String, lease: GroupLease?, now: Instant) {
-        if (lease == null) {
-            terms.remove(name)
-            endedLeasesSeenAt.getOrPut(name) { now }
-            return
-        }
-        terms[name] = lease.term
-        highestTerms[name] = maxOf(lease.term, highestTerms[name] ?: 0)
-        endedLeasesSeenAt.remove(name)
-    }
+    private fun observedLease(name: String): ObservedLease =
+        observedLeases.getOrPut(name) { ObservedLease(context.own) }
 
     /**
      * Whether a change in progress may be completed although the entry is not the group's keeper.
@@ -203,12 +166,12 @@
      */
     private fun mayChangeContinue(name: String, now: Instant): Boolean {
         if (context.guard.areFencesChecked) return true
-        val endedAt = endedLeasesSeenAt[name] ?: return true
-        return now - endedAt < CHANGE_COMPLETION_TIME
+        val missingSince = observedLease(name).missingSince ?: return true
+        return now - missingSince < CHANGE_COMPLETION_TIME
     }
 
     private fun mayKeep(name: String): Boolean {
-        val heldLease = heldLeases[name] ?: return context.guard.areFencesChecked
+        val heldLease = observedLease(name).held ?: return context.guard.areFencesChecked
         if (!context.guard.mayIssueOrders(name)) return false
         if (!heldLease.isTakeoverAllowed) {
             val isPreviousHolderGone = heldLease.isPreviousHolderKnown &&
@@ -285,7 +248,7 @@
         if (last != null && now - last < CLAIM_INTERVAL) return
         val highestTerm = maxOf(
             lease?.term ?: 0,
-            highestTerms[name] ?: 0,
+            observedLease(name).highestTerm,
             GroupLease.lastTermBefore(context.replica().revision.era)
         )
         val next = GroupLease(context.own.instance, context.own.incarnation, highestTerm + 1)
@@ -373,22 +336,6 @@
         null
     }
 
-    /** A lease that this entry holds, with the previous holder if one is known. */
-    private class HeldLease(
-        val term: Long,
-        val firstSeenAt: Instant,
-        val previousHolder: KeeperCandidate?,
-        /** False if there may be a holder after [previousHolder] that a restored store lost. */
-        val isPreviousHolderKnown: Boolean
-    ) {
-        /**
-         * Whether this entry may keep the group after the previous holder.
-         *
-         * Never reset, since the peer report that showed it may expire.
-         */
-        var isTakeoverAllowed: Boolean = false
-    }
-
     private class KnownGroup(val ranks: Map<Int, RankAddress>, val placement: PlacementProfile)
 
     internal companion object {
@@ -402,8 +349,6 @@
         /** An order is answered or abandoned within 320 ms. */
         private val MAX_ORDER_TIME = 400.milliseconds
 
-        private const val UNKNOWN_ERA = -1L
-
         /** With [MAX_ORDER_TIME] less than [LeaseGuard] adds to the validity of a lease. */
         private val CHANGE_COMPLETION_TIME = 500.milliseconds
 
--- /dev/null
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/ObservedLease.kt
@@ -0,0 +1,78 @@
+package org.shallotplank.gateway.group
+
+import kotlin.time.Instant
+
+/** The lease of one group as the entry [own] has observed it. */
+internal class ObservedLease(private val own: KeeperCandidate) {
+    /** Term of the lease, null while there is none. */
+    var term: Long? = null
+        private set
+
+    /** The highest term so far, 0 if there was no lease yet. */
+    var highestTerm: Long = 0
+        private set
+
+    /** Since when there has been no lease, null while there is one. */
+    var missingSince: Instant? = null
+        private set
+
+    /** The lease if [own] holds it, else null. */
+    var held: HeldLease? = null
+        private set
+
+    private var lastHolder: KeeperCandidate? = null
+
+    /** Era of the store in which there last was a lease. */
+    private var lastEra: Long? = null
+
+    /**
+     * Records the lease as it was at [now] in [era] of the store, null if there was none.
+     *
+     * @param isEnded whether there is a lease of an earlier era.
+     */
+    fun record(lease: GroupLease?, era: Long, isEnded: Boolean, now: Instant) {
+        // A group without any lease is new, so that its first lease has no previous holder.
+        if (lastEra == null && !isEnded) lastEra = era
+        term = lease?.term
+        missingSince = if (lease == null) missingSince ?: now else null
+        recordHeld(lease, era, now)
+        lastHolder = lease?.leaseHolder
+        if (lease == null) return
+        highestTerm = maxOf(highestTerm, lease.term)
+        lastEra = era
+    }
+
+    private fun recordHeld(lease: GroupLease?, era: Long, now: Instant) {
+        if (lease == null || !lease.isHeldBy(own)) {
+            held = null
+        } else if (held?.term != lease.term) {
+            held = HeldLease(
+                term = lease.term,
+                firstSeenAt = now,
+                previousHolder = lastHolder,
+                isPreviousHolderKnown = lastEra == era
+            )
+        }
+    }
+}
+
+/**
+ * A lease that this entry holds.
+ *
+ * @property previousHolder the holder that the entry observed before, null if there was none.
+ * @property isPreviousHolderKnown false if a restored store may have lost holders after
+ *   [previousHolder].
+ */
+internal class HeldLease(
+    val term: Long,
+    val firstSeenAt: Instant,
+    val previousHolder: KeeperCandidate?,
+    val isPreviousHolderKnown: Boolean
+) {
+    /**
+     * Whether this entry may keep the group after the previous holder.
+     *
+     * Never reset, since the peer report that showed it may expire.
+     */
+    var isTakeoverAllowed: Boolean = false
+}
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerReport.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.shallotplank.gateway.store.StoreRow
 
 /**
  * The state that an entry reports to other entries on request.
@@ -58,7 +59,9 @@
 
 /** A copy of a table of the store, as one entry sends it to another. */
 @Serializable
-internal class TableCopy(val version: Long, val rows: List<RowCopy>)
+internal class TableCopy(val version: Long, val rows: List<RowCopy>) {
+    fun storeRows(): List<StoreRow> = rows.map { StoreRow(it.key, it.value, it.version) }
+}
 
 /** One row of a [TableCopy]. */
 @Serializable
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerTables.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerTables.kt
@@ -45,9 +45,9 @@
             val offered = report.tableVersions[table.name]
                 ?.let { OfferedVersion(report.incarnation, it) }
             if (offered == null || offered == view.fetchedVersions[table.name]) continue
-            val contents = fetchTable(client, table.name, era = 0, TIMEOUT) ?: continue
+            val copy = fetchTable(client, table.name, TIMEOUT) ?: continue
             view.fetchedVersions[table.name] = offered
-            table.learn(contents.rows)
+            table.learn(copy.storeRows())
         }
     }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
@@ -20,9 +20,6 @@
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.gateway.http.HttpCall
 import org.shallotplank.gateway.http.HttpClient
-import org.shallotplank.gateway.store.StoreRevision
-import org.shallotplank.gateway.store.StoreRow
-import org.shallotplank.gateway.store.TableContents
 
 /** The observed state of another entry. */
 internal class PeerView(val address: Address) {
@@ -146,26 +143,14 @@
     }
 }
 
-/**
- * Fetches a copy of [table] from the entry that [client] calls; null if that fails.
- *
- * @param era the era in which that entry reported the table. If it has reached another one
- *   meanwhile, the contents are newer than they are taken for.
- */
+/** Fetches a copy of [table] from the entry that [client] calls; null if that fails. */
 @OptIn(ExperimentalSerializationApi::class)
-internal suspend fun fetchTable(
-    client: HttpClient,
-    table: String,
-    era: Long,
-    timeout: Duration
-): TableContents? {
+internal suspend fun fetchTable(client: HttpClient, table: String, timeout: Duration): TableCopy? {
     val call = HttpCall("GET", "${Peers.TABLE_PATH}?name=$table")
     val reply = client.call(call, timeout).getOrNull()?.takeIf { it.status == 200 } ?: return null
-    val copy = try {
+    return try {
         Cbor.decodeFromByteArray<TableCopy>(reply.body)
     } catch (e: SerializationException) {
-        return null
+        null
     }
-    val rows = copy.rows.map { StoreRow(it.key, it.value, it.version) }
-    return TableContents(rows, StoreRevision(era, copy.version))
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
@@ -76,9 +76,19 @@
         }
     }
 
-    /** Replaces the copy with [contents] from another process if those are newer. */
-    public fun adopt(contents: TableContents) {
-        if (contents.revision > replica.revision) onContact(replica, replace(contents))
+    /** Replaces the copy with [contents] from the process [source] if those are newer. */
+    public fun adopt(contents: TableContents, source: String) {
+        if (contents.revision <= replica.revision) return
+        log(
+            logRecord(
+                LogEvent.STORE_TABLE_COPIED,
+                "table" to settings.table,
+                "source" to source,
+                "revision" to contents.revision,
+                "previous" to replica.revision
+            )
+        )
+        onContact(replica, replace(contents))
     }
 
     private suspend fun poll(): Either<StoreFailure, Boolean> = if (mustReadWhole) {
