List an upstream that registers first in a restored store

An upstream whose row had been removed, and which registers again in the era that follows, could be taken for one whose row came back with the copy: if the restored table equalled the one before, its readers did not learn of the new era, and took the next change for the copy. A row that is back with the copy and stays for ten seconds belongs to a running upstream as well, since the store removes others sooner.

A new era is a change of the table now. The new tests of ObservedUpstreamsTest and TableReplicaTest cover both cases; the second case failed before, and the one of TableReplicaTest.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ObservedUpstreams.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ObservedUpstreams.kt
@@ -21,7 +21,7 @@
  * An upstream whose row is missing is removed at once, unless the store has just returned from an
  * outage; then the upstream is kept until [returnGrace] after the return, to register again. A
  * store that was restored may list upstreams as they were before they left; their departure holds
- * until they are written again.
+ * until their rows change, or until the store has kept the row of a removed one for [ROW_LIFETIME].
  */
 internal class ObservedUpstreams(
     private val read: (StoreRow) -> Either<String, UpstreamRecord>,
@@ -37,6 +37,9 @@
     /** When each recent incarnation was last seen to leave, or was removed. */
     private val departedAt = HashMap<UpstreamKey, Instant>()
 
+    /** Since when the row of a removed upstream has been back with a restored store. */
+    private val restoredAt = HashMap<String, Instant>()
+
     /** Applies the rows of [replica]; the last outage of the store ended at [returnedAt]. */
     fun update(replica: TableReplica, returnedAt: Instant, now: Instant) {
         val isRestored = replica.revision.era > era
@@ -48,9 +51,11 @@
             val isOutdated = isRestored && record?.key in departedAt
             val applied = if (isOutdated) record?.departedSince(known?.record) else record
             readByKey[row.key] = ReadRow(row, applied)
+            if (isOutdated && applied == null) restoredAt[row.key] = now else restoredAt -= row.key
         }
         val gone = readByKey.keys.filter { replica.row(it) == null }
         for (key in gone) {
+            restoredAt -= key
             val record = readByKey.remove(key)?.record ?: continue
             val mayReturn = now - returnedAt < returnGrace
             if (mayReturn) {
@@ -70,8 +75,23 @@
         departedAt.values.removeAll { now - it > DEPARTURE_MEMORY }
     }
 
-    /** Removes missing upstreams whose grace is over; returns whether there were any. */
+    /** Ends what holds for a time after a return of the store; returns whether the list changed. */
     fun expire(now: Instant): Boolean {
+        val isRestored = listRestored(now)
+        return expireMissing(now) || isRestored
+    }
+
+    /** Lists upstreams whose rows would have been removed again if they had not registered. */
+    private fun listRestored(now: Instant): Boolean {
+        val kept = restoredAt.filterValues { now - it >= ROW_LIFETIME }.keys
+        for (key in kept) {
+            val row = readByKey.getValue(key).row
+            readByKey[key] = ReadRow(row, readOrLog(row))
+        }
+        return restoredAt.keys.removeAll(kept)
+    }
+
+    private fun expireMissing(now: Instant): Boolean {
         val expired = missing.filterValues { entry ->
             entry.missingSince?.let { now - it >= returnGrace } ?: true
         }
@@ -106,5 +126,8 @@
     private companion object {
         /** Longer than the age of any copy from which a store is restored. */
         val DEPARTURE_MEMORY = 60.seconds
+
+        /** Longer than a store keeps the row of an upstream that does not write it again. */
+        val ROW_LIFETIME = 10.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableReplica.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableReplica.kt
@@ -33,15 +33,19 @@
     public fun revisionOf(key: String): StoreRevision =
         StoreRevision(revision.era, rowsByKey[key]?.version ?: 0)
 
-    /** Replaces the copy by [contents] unless they are older; returns whether a row changed. */
+    /**
+     * Replaces the copy by [contents] unless they are older; returns whether a row or the era
+     * changed.
+     */
     public fun replace(contents: TableContents): Boolean {
         if (contents.revision < revision) return false
-        if (contents.revision.era > revision.era) lostRowsByKey += rowsByKey
+        val isNewEra = contents.revision.era > revision.era
+        if (isNewEra) lostRowsByKey += rowsByKey
         contents.rows.forEach { lostRowsByKey -= it.key }
         revision = contents.revision
         val isSame = contents.rows.size == rowsByKey.size &&
             contents.rows.all { rowsByKey[it.key] == it }
-        if (isSame) return false
+        if (isSame && !isNewEra) return false
         rowsByKey.clear()
         contents.rows.forEach { rowsByKey[it.key] = it }
         return true
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/ObservedUpstreamsTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/ObservedUpstreamsTest.kt
@@ -4,6 +4,8 @@
 import arrow.core.right
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -98,6 +100,25 @@
             assertEquals(listOf("a"), leaving())
         }
 
+        @Test
+        fun `list an upstream that had been missing once its row has stayed`() {
+            show(listOf("a", "b"), returnedAt = Instant.DISTANT_PAST, now = start)
+            show(listOf("a"), returnedAt = Instant.DISTANT_PAST, now = start + 1.seconds)
+            restore("a" to "good", "b" to "good")
+            assertFalse(observed.expire(returnedAt + 9.seconds))
+            assertTrue(observed.expire(returnedAt + 10.seconds))
+            assertEquals(listOf("a", "b"), ids())
+        }
+
+        @Test
+        fun `list an upstream that registers after the return`() {
+            show(listOf("a", "b"), returnedAt = Instant.DISTANT_PAST, now = start)
+            show(listOf("a"), returnedAt = Instant.DISTANT_PAST, now = start + 1.seconds)
+            restore("a" to "good")
+            show(listOf("a", "b"), returnedAt, returnedAt + 1.seconds)
+            assertEquals(listOf("a", "b"), ids())
+        }
+
         @Test
         fun `list an upstream that had been missing once it is written again`() {
             show(listOf("a", "b"), returnedAt = Instant.DISTANT_PAST, now = start)
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/TableReplicaTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/TableReplicaTest.kt
@@ -41,6 +41,18 @@
         }
     }
 
+    /** Guards against readers that take what is written in a new era for a row of the copy. */
+    @Nested
+    inner class ANewEra {
+        @Test
+        fun `is a change even if the rows are the same`() {
+            val rows = listOf(StoreRow("a", "1", 3))
+            replica.replace(TableContents(rows, StoreRevision(era = 1, version = 9)))
+            assertFalse(replica.replace(TableContents(rows, StoreRevision(era = 1, version = 10))))
+            assertTrue(replica.replace(TableContents(rows, StoreRevision(era = 2, version = 9))))
+        }
+    }
+
     /** Guards against zones back in service and forgotten entries after a restoration. */
     @Nested
     inner class RowsThatARestoredStoreLacks {
