Add a review case: ranks of one group with different maps

Seen: after an order to arm that is carried out late, behind the end of the keeper that gave it, one rank switches to a map alone; all later passes run with two maps. The ranks check no fences, and the group was idle. Cause: orders of an earlier keeper are not guarded by expect, and a rank that is armed without a hold is taken for a switch in progress.

--- a/review/src/Case.java
+++ b/review/src/Case.java
@@ -35,6 +35,7 @@
     final void main() {
         int status = 2;
         Http.daemon(this::endInTime);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
         try {
             temporary = Files.createTempDirectory("review");
             record.write(isTroubled ? "with the disruption" : "without the disruption");
@@ -78,10 +79,15 @@
 
     /** A configuration with one host, a key and a service of plain servers. */
     static String configuration(long version, int timeoutMillis) {
-        return "{\"version\":" + version + ",\"routes\":[" +
+        return configuration(version, timeoutMillis, "", "");
+    }
+
+    /** The same with further routes and services, each followed by a comma. */
+    static String configuration(long version, int timeoutMillis, String routes, String services) {
+        return "{\"version\":" + version + ",\"routes\":[" + routes +
             route("orders", "/orders/", "unsafe", timeoutMillis) + "," +
             route("lookups", "/lookups/", "safe", timeoutMillis) + "]," +
-            "\"services\":[{\"name\":\"order-app\",\"health_path\":\"/healthz\",\"max_conns\":96,\"protocol\":\"h1\"," +
+            "\"services\":[" + services + "{\"name\":\"order-app\",\"health_path\":\"/healthz\",\"max_conns\":96,\"protocol\":\"h1\"," +
             "\"tls\":false,\"cold_s\":0.0,\"cold_per_s\":0.0}]," +
             "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000," +
             "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"tenant-1\",\"api_keys\":[\"key-1\"],\"priority\":1}]}";
--- a/review/src/Node.java
+++ b/review/src/Node.java
@@ -74,6 +74,14 @@
         return new Node("gateway", root, folder, name, text);
     }
 
+    /** A relay that listens at [listen], beside the engine at [engine]. */
+    static Node relay(Path root, Path folder, String name, String listen, String engine) throws IOException {
+        String text = "instance_id = \"" + name + "\"\n" +
+            "listen_address = \"" + listen + "\"\n" +
+            "engine_address = \"" + engine + "\"\n";
+        return new Node("relay", root, folder, name, text);
+    }
+
     void start() throws IOException {
         ProcessBuilder builder = new ProcessBuilder(command(root, role));
         builder.directory(root.toFile());
