Show the held group by a freeze of another entry

Seen: an entry that is frozen for 4 s when the keeper asks it to send a hold sends it after the step was released; the idle group stands still for good. Cause: in the stage Switching, GroupKeeper.onReported passes over a rank that reports a held step; sendDelegated sends a hold however old it is.

--- a/review/src/LateHold.java
+++ b/review/src/FrozenEntry.java
@@ -3,32 +3,26 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A worker leaves an order to hold a step unanswered and carries it out two seconds later. */
-final class LateHold extends Case {
-    /** The pages say 2 to 12 s. */
-    private static final int LATE_MILLIS = 2_050;
+/** An entry that isn't the holder of the group's lease freezes for four seconds while the group changes its map. */
+final class FrozenEntry extends Case {
+    /** The longest freeze of the site's troubles. */
+    private static final int FREEZE_MILLIS = 4_000;
     private final AtomicInteger draftsSent = new AtomicInteger();
     private final AtomicInteger draftsServed = new AtomicInteger();
     private final AtomicInteger lookupsSent = new AtomicInteger();
     private final AtomicInteger lookupsServed = new AtomicInteger();
-    private volatile boolean isWithholding = false;
-
-    /** Whether an order was carried out late; all later ones are answered. */
-    private volatile boolean isLate = false;
-    private Ranks ranks;
 
     public static void main(String[] arguments) {
-        new LateHold().main();
+        new FrozenEntry().main();
     }
 
     @Override
     boolean play() throws Exception {
         Store store = keep(new Store("127.0.0.1", record));
         store.put("op", "config", configuration(7, 4000, Ranks.route() + ",", Ranks.service() + ","));
-        ranks = keep(new Ranks(record, true));
+        Ranks ranks = keep(new Ranks(record, true));
         int relayPort = Node.Ports.free("127.0.2.1");
         for (Ranks.Rank rank : ranks.ranks) {
             store.put("servers", rank.id, ranks.row(rank, "khomas-a"));
@@ -39,29 +33,32 @@
         List<Node.Ports> entries = new ArrayList<>();
         for (int number = 1; number <= 2; number++) entries.add(new Node.Ports("127.0.1." + number));
         String seeds = "[\"" + entries.get(0).peers + "\",\"" + entries.get(1).peers + "\"]";
+        List<Node> gateways = new ArrayList<>();
         for (int number = 1; number <= 2; number++) {
-            keep(Node.gateway(root, temporary, "edge-khomas-a-" + number, entries.get(number - 1), "khomas-a", store.address(), seeds,
-                relayPort, true)).start();
+            gateways.add(keep(Node.gateway(root, temporary, "edge-khomas-a-" + number, entries.get(number - 1), "khomas-a",
+                store.address(), seeds, relayPort, true)));
+            gateways.get(number - 1).start();
         }
         for (Node.Ports entry : entries) require(Node.awaitReady(entry.readiness, 20), "an entry isn't ready");
         Thread.sleep(4000);
-        ranks.trouble = this::withholds;
+        int holder = store.get("entries", "group/g1").contains("\"holder\":\"edge-khomas-a-1\"") ? 0 : 1;
+        record.write("edge-khomas-a-" + (holder + 1) + " holds the lease; all clients are connected to it");
+        String entry = entries.get(holder).callers;
         List<Thread> clients = new ArrayList<>();
         // Little traffic at first: some drafts every six seconds.
         for (int burst = 0; burst < 5; burst++) {
             ranks.shiftDemand();
-            isWithholding = isTroubled && burst > 0 && !isLate;
+            if (isTroubled && burst == 1) freeze(gateways.get(1 - holder));
             tell("burst " + burst);
-            for (int number = 0; number < 6; number++) send(entries, clients, "draft-" + burst + "-" + number, number);
-            lookups(entries, clients, 6);
+            for (int number = 0; number < 6; number++) send(entry, clients, "draft-" + burst + "-" + number);
+            lookups(entry, clients, 6);
         }
         // Then the usual traffic, without further trouble.
-        isWithholding = false;
         for (int second = 0; second < 55; second++) {
             if (second % 10 == 0) tell("usual traffic, second " + second);
             if (second % 6 == 0) ranks.shiftDemand();
-            for (int number = 0; number < 3; number++) send(entries, clients, "draft-u" + second + "-" + number, second + number);
-            lookups(entries, clients, 1);
+            for (int number = 0; number < 3; number++) send(entry, clients, "draft-u" + second + "-" + number);
+            lookups(entry, clients, 1);
         }
         for (Thread client : clients) client.join(10_000);
         require(ranks.mapChanges() > 0, "the map was never changed");
@@ -76,36 +73,31 @@
         record.write(what + ", served so far: drafts " + draftsServed + "/" + draftsSent + ", lookups " + lookupsServed + "/" + lookupsSent);
     }
 
-    private void send(List<Node.Ports> entries, List<Thread> clients, String attempt, int number) {
-        String entry = entries.get(number % 2).callers;
+    private void send(String entry, List<Thread> clients, String attempt) {
         clients.add(Http.daemon(() -> draft(entry, attempt)));
     }
 
     /** Sends four lookups a second. */
-    private void lookups(List<Node.Ports> entries, List<Thread> clients, int seconds) throws InterruptedException {
+    private void lookups(String entry, List<Thread> clients, int seconds) throws InterruptedException {
         for (int number = 0; number < 4 * seconds; number++) {
-            String entry = entries.get(number % 2).callers;
             String attempt = "lookup-" + lookupsSent.get() + "-" + number;
             clients.add(Http.daemon(() -> lookup(entry, attempt)));
             Thread.sleep(250);
         }
     }
 
-    /** The first hold of a burst gets no answer and is carried out two seconds later, until one could be; all others are answered. */
-    private boolean withholds(Ranks.Rank rank, Map<String, Object> order) {
-        if (!isWithholding || !"hold".equals(order.get("op"))) return false;
-        isWithholding = false;
+    private void freeze(Node gateway) throws Exception {
+        gateway.signal("STOP");
+        record.write("SIGSTOP to the other entry");
         Http.daemon(() -> {
             try {
-                Thread.sleep(LATE_MILLIS);
-            } catch (InterruptedException e) {
-                return;
+                Thread.sleep(FREEZE_MILLIS);
+                gateway.signal("CONT");
+                record.write("SIGCONT to the other entry");
+            } catch (Exception e) {
+                record.write("freeze: " + e);
             }
-            String status = rank.carryOut(order);
-            isLate = isLate || status.startsWith("200");
-            record.write("rank " + rank.number + ": the late hold at " + order.get("step") + " -> " + status + ", the last pass is " + ranks.step());
         });
-        return true;
     }
 
     private boolean serve(Http.Message request, Socket socket, OutputStream out) throws Exception {
