Tie the freeze of case 1 to the beginning of the map change

Seen: with the freeze at a fixed moment, the case failed 3 of 5 times; in the two that held, the change began 3.2 s into the freeze, when the frozen entry was not asked for the hold any more. Now the freeze of 3.9 s begins at the first order to prepare a map in the second burst. Limits unchanged. Command: review/build.sh && review/1/run.sh, five times.

--- a/review/src/FrozenEntry.java
+++ b/review/src/FrozenEntry.java
@@ -3,9 +3,10 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** An entry that isn't the holder of the group's lease freezes for four seconds while the group changes its map. */
+/** An entry that isn't the holder of the group's lease freezes when the group begins to change its map. */
 final class FrozenEntry extends Case {
     /** Below the longest freeze of the site's troubles, 4 s, by more than a signal takes. */
     private static final int FREEZE_MILLIS = 3_900;
@@ -48,7 +49,7 @@
         // Little traffic at first: some drafts every six seconds.
         for (int burst = 0; burst < 5; burst++) {
             ranks.shiftDemand();
-            if (isTroubled && burst == 1) freeze(gateways.get(1 - holder));
+            if (isTroubled && burst == 1) freezeAtPrepare(ranks, gateways.get(1 - holder));
             tell("burst " + burst);
             for (int number = 0; number < 6; number++) send(entry, clients, "draft-" + burst + "-" + number);
             lookups(entry, clients, 6);
@@ -86,11 +87,20 @@
         }
     }
 
-    private void freeze(Node gateway) throws Exception {
-        gateway.signal("STOP");
-        record.write("SIGSTOP to the other entry");
+    /** Freezes [gateway] once, when a rank gets the next order to prepare a map. */
+    private void freezeAtPrepare(Ranks ranks, Node gateway) {
+        AtomicBoolean isFrozen = new AtomicBoolean();
+        ranks.trouble = (rank, order) -> {
+            if ("prepare".equals(order.get("op")) && !isFrozen.getAndSet(true)) freeze(gateway);
+            return false;
+        };
+    }
+
+    private void freeze(Node gateway) {
         Http.daemon(() -> {
             try {
+                gateway.signal("STOP");
+                record.write("SIGSTOP to the other entry");
                 Thread.sleep(FREEZE_MILLIS);
                 gateway.signal("CONT");
                 record.write("SIGCONT to the other entry");
