Show that half an answer is delivered as whole after a reset at a write

Seen: a server answers a long request early and without a length, and its connection is reset after half of the answer. The client gets 200 with the server's stamp and Content-Length: 400 of 800 bytes (rule MIXED). Cause: a reset that shows at a write reaches no exceptionCaught, so that UpstreamConnection.wasReset stays unset and the decoder's end of the answer counts. Bodies of 3.6 MB or less, which the kernel takes at once, hold. Command: review/build.sh && review/1/run.sh, five times.

--- a/review/src/Http.java
+++ b/review/src/Http.java
@@ -120,11 +120,7 @@
         if (first == null) return null;
         Message message = new Message();
         message.startLine = first;
-        String line;
-        while (!(line = orThrow(line(in))).isEmpty()) {
-            int colon = line.indexOf(':');
-            message.headers.put(line.substring(0, colon).toLowerCase(), line.substring(colon + 1).trim());
-        }
+        readHeaders(in, message.headers);
         String length = message.header("content-length");
         String coding = message.header("transfer-encoding");
         ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -147,6 +143,22 @@
         return message;
     }
 
+    /** Reads the first line and the headers of a message and leaves its body; null at the end of the connection. */
+    static Map<String, String> head(InputStream in) throws IOException {
+        if (line(in) == null) return null;
+        Map<String, String> headers = new HashMap<>();
+        readHeaders(in, headers);
+        return headers;
+    }
+
+    private static void readHeaders(InputStream in, Map<String, String> headers) throws IOException {
+        String line;
+        while (!(line = orThrow(line(in))).isEmpty()) {
+            int colon = line.indexOf(':');
+            headers.put(line.substring(0, colon).toLowerCase(), line.substring(colon + 1).trim());
+        }
+    }
+
     private static String orThrow(String line) throws EOFException {
         if (line == null) throw new EOFException();
         return line;
