Keep the ports of tests from the moment they are chosen

Ports: tests took a free port, closed the socket and bound the port later; meanwhile another process could take it. LoopbackAddresses, in the new module test-support, keeps a socket that does not listen bound to the port while the test process runs. With SO_REUSEADDR, Linux lets a server listen beside it and gives the port to nobody else.

PlannedStopTest, "is refused unrun if it could outlast the grace": the test sent the end of its request 1.1 s after it had asked for the stop, 100 ms after the entry ceases to admit requests if it begins at once, and up to then the entry had nothing open, so that it could be gone by then. Now another request keeps the entry running, the test waits until the entry says that it is not ready before it counts, and the grace is the 8 s of a deployment in place of 2 s. It is as strict: 503, not run, and besides the answer must come while the entry still runs.

--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
@@ -3,7 +3,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import java.io.OutputStream
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
@@ -33,6 +32,7 @@
 import org.shallotplank.core.gateway.UpstreamRecord
 import org.shallotplank.core.gateway.UpstreamService
 import org.shallotplank.gateway.log.JsonLogWriter
+import org.shallotplank.testsupport.LoopbackAddresses
 
 internal val testHeaders = HeaderNames(
     attemptId = "X-Attempt",
@@ -60,7 +60,7 @@
 ) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
-    private val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+    private val address = LoopbackAddresses.reserve()
     private val clock = SteadyClock()
     private val service = ServiceName("s")
     private val exchanges = GatewayExchanges(
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayProcessFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayProcessFixture.kt
@@ -2,10 +2,10 @@
 
 import arrow.core.right
 import java.io.OutputStream
-import java.net.ServerSocket
 import java.net.Socket
 import kotlin.random.Random
 import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
@@ -30,16 +30,21 @@
 import org.shallotplank.gateway.group.RankExperts
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.log.JsonLogWriter
+import org.shallotplank.testsupport.LoopbackAddresses
 
 /**
  * A whole gateway entry on loopback in front of [upstream], which is in zone `a`.
  *
- * Rows of operators are the names of the zones out of service. The entry has a grace of two
- * seconds, of which it announces its stop for one.
+ * Rows of operators are the names of the zones out of service.
  */
-internal class GatewayProcessFixture(private val upstream: Address, tables: TestTables) {
+internal class GatewayProcessFixture(
+    private val upstream: Address,
+    tables: TestTables,
+    private val stopGrace: Duration = 2.seconds
+) {
     private val service = ServiceName("s")
-    private val address = freeAddress()
+    private val address = LoopbackAddresses.reserve()
+    private val readinessAddress = LoopbackAddresses.reserve()
     private val clock = SteadyClock()
 
     val process = GatewayProcess(
@@ -71,6 +76,16 @@
 
     fun connect() = Socket(address.host, address.port).apply { soTimeout = 5_000 }
 
+    /** Whether the entry says that it is ready, which it ceases to be when it begins to stop. */
+    fun isReady(): Boolean {
+        val readiness = Socket(readinessAddress.host, readinessAddress.port)
+        return readiness.use {
+            it.soTimeout = 5_000
+            it.send("GET /ready HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n")
+            it.getInputStream().bufferedReader().readLine() == "HTTP/1.1 200 OK"
+        }
+    }
+
     /** Sends a request that may run once and returns the status line of its answer. */
     fun statusOfRequest(): String = connect().use { caller ->
         caller.send(request("unsafe"))
@@ -108,14 +123,14 @@
         instanceId = InstanceId("entry"),
         zone = ZoneName("a"),
         listenAddress = address,
-        readinessAddress = freeAddress(),
-        directoryAddress = freeAddress(),
-        peerAddress = freeAddress(),
+        readinessAddress = readinessAddress,
+        directoryAddress = LoopbackAddresses.reserve(),
+        peerAddress = LoopbackAddresses.reserve(),
         storeAddress = address,
-        metricsPort = freeAddress().port,
+        metricsPort = LoopbackAddresses.reserve().port,
         relayPort = null,
         maxConnections = 100,
-        stopGrace = 2.seconds,
+        stopGrace = stopGrace,
         entryListTtl = 2.seconds,
         retryRatio = 0.2,
         retryWindow = 10.seconds,
@@ -145,8 +160,4 @@
 
         override fun keepOnly(ranks: Set<RankAddress>) = Unit
     }
-
-    internal companion object {
-        fun freeAddress() = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
-    }
 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/LostRowsTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/LostRowsTest.kt
@@ -16,6 +16,7 @@
 import org.shallotplank.gateway.http.HttpReply
 import org.shallotplank.gateway.peer.PeerRow
 import org.shallotplank.gateway.store.StoreRow
+import org.shallotplank.testsupport.LoopbackAddresses
 
 /** Guards against entries that at once forget what a restored store has lost. */
 class LostRowsTest {
@@ -53,7 +54,7 @@
     inner class AnEntryThatHadRegistered {
         @Test
         fun `is asked for its reports until it could register again`() {
-            val address = GatewayProcessFixture.freeAddress()
+            val address = LoopbackAddresses.reserve()
             val polls = AtomicInteger()
             val other = HttpEndpoint(group, address) {
                 polls.incrementAndGet()
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/PlannedStopTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/PlannedStopTest.kt
@@ -7,6 +7,8 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import org.junit.jupiter.api.Nested
 
 /** Guards against requests that end without an answer when an entry stops as planned. */
@@ -16,7 +18,9 @@
         release.await()
         socket.send(answer(request))
     }
-    private val entry = GatewayProcessFixture(upstream.address, TestTables()).apply { start() }
+
+    private fun entry(stopGrace: Duration) =
+        GatewayProcessFixture(upstream.address, TestTables(), stopGrace).apply { start() }
 
     @AfterTest
     fun close() {
@@ -24,7 +28,12 @@
         upstream.close()
     }
 
-    private fun stop(): Thread = thread { entry.process.stop() }
+    private fun GatewayProcessFixture.stop(): Thread = thread { process.stop() }
+
+    /** Waits until the entry has begun to stop; it answers no later than that it is not ready. */
+    private fun GatewayProcessFixture.awaitStopBegun() {
+        while (isReady()) Thread.sleep(POLL_MILLIS)
+    }
 
     /** The status line that the caller has received when the process ends; empty if none. */
     private fun Socket.statusAtEnd(stopping: Thread): String {
@@ -37,10 +46,11 @@
     inner class ARequestThatRunsAtTheEndOfTheGrace {
         @Test
         fun `is answered as one that may have run`() {
+            val entry = entry(stopGrace = 2.seconds)
             entry.connect().use { caller ->
                 caller.send(request("unsafe"))
                 while (upstream.requests.isEmpty()) Thread.sleep(POLL_MILLIS)
-                assertEquals("HTTP/1.1 502 Bad Gateway", caller.statusAtEnd(stop()))
+                assertEquals("HTTP/1.1 502 Bad Gateway", caller.statusAtEnd(entry.stop()))
             }
         }
     }
@@ -49,25 +59,32 @@
     inner class ARequestThatArrivesLateInTheGrace {
         @Test
         fun `is refused unrun if it could outlast the grace`() {
-            entry.connect().use { caller ->
-                val text = request("unsafe")
-                caller.send(text.take(HALF))
-                Thread.sleep(POLL_MILLIS)
-                val stopping = stop()
-                Thread.sleep(LATE_MILLIS)
-                caller.send(text.drop(HALF))
-                val status = caller.statusAtEnd(stopping)
-                assertEquals("HTTP/1.1 503 Service Unavailable", status)
-                assertTrue(upstream.requests.isEmpty())
+            val entry = entry(stopGrace = 8.seconds)
+            entry.connect().use { running ->
+                running.send(request("unsafe"))
+                while (upstream.requests.isEmpty()) Thread.sleep(POLL_MILLIS)
+                entry.connect().use { caller ->
+                    val text = request("unsafe", body = "late")
+                    caller.send(text.dropLast(1))
+                    val stopping = entry.stop()
+                    entry.awaitStopBegun()
+                    Thread.sleep(ADMISSION_MILLIS)
+                    caller.send(text.takeLast(1))
+                    val status = caller.getInputStream().bufferedReader().readLine()
+                    assertEquals("HTTP/1.1 503 Service Unavailable", status)
+                    assertTrue(stopping.isAlive)
+                    release.countDown()
+                    assertEquals("HTTP/1.1 200 OK", running.statusAtEnd(stopping))
+                }
             }
+            assertEquals(1, upstream.requests.size)
         }
     }
 
     private companion object {
         const val POLL_MILLIS = 20L
 
-        /** After the stop was announced and before the end of the grace. */
-        const val LATE_MILLIS = 1_100L
-        const val HALF = 40
+        /** The time for which a stopping entry admits requests, and a tenth of a second more. */
+        const val ADMISSION_MILLIS = 3_100L
     }
 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/SimultaneousStartTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/SimultaneousStartTest.kt
@@ -2,7 +2,6 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import java.net.ServerSocket
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -29,6 +28,7 @@
 import org.shallotplank.gateway.store.StoreRevision
 import org.shallotplank.gateway.store.TableContents
 import org.shallotplank.gateway.store.TableReplica
+import org.shallotplank.testsupport.LoopbackAddresses
 
 /**
  * All machines restart at once after a power loss.
@@ -69,7 +69,7 @@
     inner class EntriesThatStartOneAfterTheOther {
         @Test
         fun `discover the later one within half a second`() {
-            val (first, later) = List(2) { freeAddress() }
+            val (first, later) = List(2) { LoopbackAddresses.reserve() }
             val peers = Peers(
                 group = group,
                 own = Address("127.0.0.1", 1),
@@ -88,8 +88,6 @@
             assertEquals(2, alive(peers))
         }
 
-        private fun freeAddress() = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
-
         private fun start(peer: Address) =
             HttpEndpoint(group, peer) { HttpReply(200, report(), HttpCall.CBOR) }.start()
 
--- a/integration-test/src/main/kotlin/org/shallotplank/integrationtest/cluster/LoopbackCluster.kt
+++ b/integration-test/src/main/kotlin/org/shallotplank/integrationtest/cluster/LoopbackCluster.kt
@@ -9,10 +9,10 @@
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.InstanceState
 import org.shallotplank.integrationtest.PlatformStandIn
-import org.shallotplank.integrationtest.harness.FreeAddresses
 import org.shallotplank.integrationtest.harness.ManagedProcess
 import org.shallotplank.integrationtest.harness.ProcessHarness
 import org.shallotplank.integrationtest.proxy.FaultProxy
+import org.shallotplank.testsupport.LoopbackAddresses
 
 /**
  * The complete system on loopback: stand-ins in the test's process, entries and agents as child
@@ -68,9 +68,9 @@
             instanceId = InstanceId("entry-${index + 1}"),
             zone = layout.zone(index),
             region = layout.region,
-            listenAddress = FreeAddresses.next(),
-            peerAddress = FreeAddresses.next(),
-            adminAddress = FreeAddresses.next(),
+            listenAddress = LoopbackAddresses.reserve(),
+            peerAddress = LoopbackAddresses.reserve(),
+            adminAddress = LoopbackAddresses.reserve(),
             platformAddress = platformLink.address,
             clusterKeyFile = "${harness.clusterKeyFile}"
         )
@@ -86,8 +86,8 @@
             service = service.name,
             zone = layout.zone(index),
             region = layout.region,
-            listenAddress = FreeAddresses.next(),
-            adminAddress = FreeAddresses.next(),
+            listenAddress = LoopbackAddresses.reserve(),
+            adminAddress = LoopbackAddresses.reserve(),
             upstreamAddress = upstreamLink.address,
             platformAddress = platformLink.address,
             clusterKeyFile = "${harness.clusterKeyFile}"
--- a/integration-test/src/main/kotlin/org/shallotplank/integrationtest/harness/ProcessHarness.kt
+++ b/integration-test/src/main/kotlin/org/shallotplank/integrationtest/harness/ProcessHarness.kt
@@ -14,6 +14,7 @@
 import org.shallotplank.config.AgentSettings
 import org.shallotplank.config.EntrySettings
 import org.shallotplank.core.Address
+import org.shallotplank.testsupport.LoopbackAddresses
 
 /** Exit status and output of a completed command. */
 internal data class CommandResult(val exitStatus: Int, val output: String, val errors: String)
@@ -46,7 +47,7 @@
     /** Starts a stand-in, such as `engine`, as a process without waiting until it is ready. */
     fun startStandIn(
         kind: String,
-        listen: Address = FreeAddresses.next(),
+        listen: Address = LoopbackAddresses.reserve(),
         options: List<String> = emptyList()
     ): ManagedProcess {
         val command = listOf("-cp", System.getProperty("java.class.path"), STAND_IN_MAIN, kind) +
--- a/runtime/src/test/kotlin/org/shallotplank/runtime/entry/EntryServerTest.kt
+++ b/runtime/src/test/kotlin/org/shallotplank/runtime/entry/EntryServerTest.kt
@@ -2,7 +2,6 @@
 
 import java.io.IOException
 import java.io.Reader
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
@@ -28,14 +27,14 @@
 import org.shallotplank.core.call.RunState
 import org.shallotplank.core.entry.IncomingCall
 import org.shallotplank.runtime.Metrics
+import org.shallotplank.testsupport.LoopbackAddresses
 
 class EntryServerTest {
     private var answer: (Channel<AnswerPart>) -> Unit = {
         it.trySend(AnswerPart.Whole(AnswerHead(200), Payload.Empty))
     }
     private val submitted = CopyOnWriteArrayList<IncomingCall>()
-    private val address =
-        Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+    private val address = LoopbackAddresses.reserve()
     private val other = Address("127.0.0.1", 1)
     private val server = EntryServer(
         settings = EntrySettings(
