Deliver an answer without a length only if its upstream has ended it

Cause: Netty's codec completes an answer without a length whenever the channel becomes inactive. The entry looked for a reset at a read (exceptionCaught) only; a reset that shows at a write fails the write's future and closes the channel without an exception.

Evidence: in the new test the last part came from channelInactive with "IOException: Connection reset by peer" as the cause of the write and no exception caught; with the same answer behind a request that had been written, the reset was read and the caller got 502.

The change asks for the one thing that ends such an answer: an end of input that was read. EndOfInputHandler enables half-closure, with which the codec handles that while the channel is active, and drops what is decoded after the channel closed, whatever closed it. It serves HttpClient too, which took half a reply of the store or of another entry for a whole one after any reset. SP5004 gets "detail", which tells how a connection was lost.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -68,7 +68,9 @@
     public data class AttemptLost(
         val requestId: RequestId,
         val attempt: Int,
-        val cause: AttemptFailure
+        val cause: AttemptFailure,
+        /** For the log, how the connection was lost. */
+        val detail: String? = null
     ) : GatewayEvent
 
     /** The upstream has sent nothing for [silence]. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -135,15 +135,16 @@
     context: GatewayContext
 ): GatewayStep {
     val open = open(event.requestId, event.attempt) ?: return Step(this)
-    return attemptLost(open, event.cause, context)
+    return attemptLost(open, event.cause, context, event.detail)
 }
 
 private fun GatewayState.attemptLost(
     open: OpenAttempt,
     cause: AttemptFailure,
-    context: GatewayContext
+    context: GatewayContext,
+    detail: String? = null
 ): GatewayStep {
-    val record = attemptFailedRecord(open, cause.name.lowercase(), context.now)
+    val record = attemptFailedRecord(open, cause.name.lowercase(), context.now, detail)
     val call = open.callWithoutAttempt().copy(mayHaveRun = true)
     // A crash may cut the connection in the middle of a head or chunk.
     val isLost = cause != AttemptFailure.SILENT
@@ -233,7 +234,12 @@
     return counted.dispatch(call, context, reason)
 }
 
-private fun attemptFailedRecord(open: OpenAttempt, cause: String, now: Instant) = logRecord(
+private fun attemptFailedRecord(
+    open: OpenAttempt,
+    cause: String,
+    now: Instant,
+    detail: String? = null
+) = logRecord(
     LogEvent.GATEWAY_ATTEMPT_FAILED,
     "request" to open.call.request.id,
     "attempt_id" to open.call.request.attemptId,
@@ -241,6 +247,7 @@
     "service" to open.call.service,
     "upstream" to open.sent.upstream,
     "cause" to cause,
+    "detail" to detail,
     "begun" to open.call.isAnswerBegun,
     "attempt_ms" to (now - open.sent.sentAt).inWholeMilliseconds
 )
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
@@ -87,6 +87,7 @@
         override fun initChannel(created: SocketChannel) {
             created.pipeline()
                 .addLast(HttpClientCodec())
+                .addLast(EndOfInputHandler())
                 .addLast(HttpObjectAggregator(MAX_REPLY_BYTES))
                 .addLast(ReplyHandler())
         }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -339,14 +339,14 @@
     private fun isFramed(response: HttpResponse): Boolean =
         HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
 
-    override fun onConnectionLost() {
-        if (!isOver) fail(AttemptFailure.CONNECTION_LOST)
+    override fun onConnectionLost(reason: String) {
+        if (!isOver) fail(AttemptFailure.CONNECTION_LOST, reason)
     }
 
-    private fun fail(cause: AttemptFailure) {
+    private fun fail(cause: AttemptFailure, detail: String? = null) {
         end()
         connection?.close()
-        context.emit(GatewayEvent.AttemptLost(exchange.id, number, cause))
+        context.emit(GatewayEvent.AttemptLost(exchange.id, number, cause, detail))
     }
 
     private fun end() {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamConnection.kt
@@ -19,14 +19,14 @@
     /** Called with each part of an answer, which the reader must release. */
     fun onPart(part: HttpObject)
 
-    /** Called when the connection was lost; no other call follows. */
-    fun onConnectionLost()
+    /** Called when the connection was lost, with the reason; no other call follows. */
+    fun onConnectionLost(reason: String)
 }
 
 /** One connection to an upstream, which carries one request at a time. */
 internal class UpstreamConnection(private val channel: Channel) : ChannelInboundHandlerAdapter() {
     private var reader: AnswerReader? = null
-    private var wasReset = false
+    private var failure: Throwable? = null
     private var requestsSent = 0
     private var lastWrite: ChannelFuture? = null
     private var keepAliveTime: Duration = DEFAULT_KEEP_ALIVE
@@ -98,13 +98,6 @@
             channel.close()
             return
         }
-        if (wasReset) {
-            // Even on a reset, the decoder reports an answer without a length as complete.
-            ReferenceCountUtil.release(message)
-            reader = null
-            current.onConnectionLost()
-            return
-        }
         current.onPart(message)
     }
 
@@ -112,12 +105,21 @@
         onClosed()
         val current = reader ?: return
         reader = null
-        current.onConnectionLost()
+        current.onConnectionLost(lossReason())
+    }
+
+    private fun lossReason(): String {
+        val writeFailure = lastWrite?.cause()
+        return when {
+            failure != null -> "read: $failure"
+            writeFailure != null -> "write: $writeFailure"
+            else -> "closed by the upstream"
+        }
     }
 
     @Deprecated("Netty deprecates it in the base class")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        wasReset = true
+        failure = cause
         context.close()
     }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
@@ -22,6 +22,7 @@
 import org.shallotplank.core.Address
 import org.shallotplank.core.gateway.ConnectFailure
 import org.shallotplank.core.gateway.UpstreamKey
+import org.shallotplank.gateway.http.EndOfInputHandler
 
 /** The upstream incarnation and address that a connection is opened to. */
 internal data class UpstreamTarget(val key: UpstreamKey, val address: Address)
@@ -109,6 +110,7 @@
             channel.pipeline()
                 .addLast(UnsolicitedBytesHandler(created))
                 .addLast(HttpClientCodec())
+                .addLast(EndOfInputHandler())
                 .addLast(created)
         }.connect(InetSocketAddress(target.address.host, target.address.port))
         future.addListener(
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/BrokenAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/BrokenAnswerTest.kt
@@ -9,6 +9,7 @@
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import org.junit.jupiter.api.Nested
+import org.shallotplank.core.gateway.CallerLimits
 
 /** Upstreams that repeat, mix or break off their answers. */
 class BrokenAnswerTest {
@@ -182,6 +183,66 @@
         }
     }
 
+    /** Guards against half answers that are delivered as whole ones after a reset. */
+    @Nested
+    inner class AnAnswerWithoutALengthThatIsReset {
+        private val half = "half".repeat(100)
+        private val events = "id: 1\ndata: a\n\n"
+
+        private fun unframedHead(request: ReadRequest) =
+            "HTTP/1.1 200 OK\r\nX-Attempt: ${request.header("X-Attempt")}\r\nX-Stamp: s\r\n\r\n"
+
+        /** Resets the connection after [body], before or after it has read the request's body. */
+        private fun replyAfterReset(kind: String, body: String, readsBodies: Boolean): String {
+            val only = ScriptedUpstream(readsBodies) { request, socket, _ ->
+                socket.send(unframedHead(request) + body)
+                Thread.sleep(UNTIL_RESET_MILLIS)
+                socket.reset()
+            }
+            open += only
+            val limits = CallerLimits(maxBodyBytes = LONG_BODY_BYTES)
+            val gateway = GatewayFixture(listOf(only), maxAttempts = 1, limits = limits)
+            open += gateway
+            return gateway.exchange(request(kind, body = "x".repeat(LONG_BODY_BYTES)))
+        }
+
+        private fun assertReplaced(kind: String, readsBodies: Boolean) {
+            val reply = replyAfterReset(kind, half, readsBodies)
+            assertContains(reply, "502 Bad Gateway")
+            assertFalse("half" in reply)
+        }
+
+        private fun assertCut(kind: String, body: String, readsBodies: Boolean) {
+            val reply = replyAfterReset(kind, body, readsBodies)
+            assertContains(reply, body.take(10))
+            assertFalse(reply.endsWith(LAST_CHUNK), "ends as if it were complete")
+        }
+
+        @Test
+        fun `is replaced by a 502 if the reset shows at a read`() {
+            assertReplaced("safe", readsBodies = true)
+            assertReplaced("unsafe", readsBodies = true)
+        }
+
+        @Test
+        fun `is replaced by a 502 if the reset shows at a write of the request`() {
+            assertReplaced("safe", readsBodies = false)
+            assertReplaced("unsafe", readsBodies = false)
+        }
+
+        @Test
+        fun `is cut off if it is too long to be held`() {
+            assertCut("safe", half.repeat(1_000), readsBodies = true)
+            assertCut("safe", half.repeat(1_000), readsBodies = false)
+        }
+
+        @Test
+        fun `is cut off if it is a stream`() {
+            assertCut("stream", events, readsBodies = true)
+            assertCut("stream", events, readsBodies = false)
+        }
+    }
+
     /** Guards against short answers that are framed as whole. */
     @Nested
     inner class AHeadThatBreaksOff {
@@ -204,6 +265,12 @@
     }
 
     private companion object {
+        /** Longer than what the socket buffers of loopback take. */
+        const val LONG_BODY_BYTES = 16_000_000
+
+        /** Longer than the entry takes to read the beginning of an answer. */
+        const val UNTIL_RESET_MILLIS = 100L
+
         /** Shorter than the heads that the tests break off. */
         const val HEAD_LENGTH = 60
     }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
@@ -28,7 +28,7 @@
         respond: (ReadRequest, Socket, Int) -> Unit = { request, socket, _ ->
             socket.send(answer(request))
         }
-    ) = ScriptedUpstream(respond).also { open += it }
+    ) = ScriptedUpstream(respond = respond).also { open += it }
 
     private fun gateway(
         vararg upstreams: ScriptedUpstream,
--- /dev/null
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/HttpClientTest.kt
@@ -0,0 +1,65 @@
+package org.shallotplank.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import java.net.Socket
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Nested
+import org.shallotplank.gateway.http.CallFailure
+import org.shallotplank.gateway.http.HttpCall
+import org.shallotplank.gateway.http.HttpClient
+import org.shallotplank.gateway.http.HttpReply
+
+class HttpClientTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val open = mutableListOf<AutoCloseable>()
+
+    @AfterTest
+    fun close() {
+        open.forEach { it.close() }
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+
+    private fun call(respond: (Socket) -> Unit): Either<CallFailure, HttpReply> {
+        val peer = ScriptedUpstream { _, socket, _ -> respond(socket) }.also { open += it }
+        return runBlocking(group.next().asCoroutineDispatcher()) {
+            HttpClient(group, peer.address).call(HttpCall("GET", "/"), timeout = 5.seconds)
+        }
+    }
+
+    /** Guards against half a reply that is taken for a whole one. */
+    @Nested
+    inner class AReplyWithoutALength {
+        @Test
+        fun `is complete once the peer has closed the connection`() {
+            val reply = call {
+                it.send("HTTP/1.1 200 OK\r\n\r\nwhole")
+                it.close()
+            }
+            assertEquals("whole", reply.getOrNull()?.body?.decodeToString())
+        }
+
+        @Test
+        fun `is lost if the connection is reset`() {
+            val reply = call {
+                it.send("HTTP/1.1 200 OK\r\n\r\nhalf")
+                Thread.sleep(LATER_MILLIS)
+                it.reset()
+            }
+            assertEquals(CallFailure.CONNECTION_LOST.left(), reply)
+        }
+    }
+
+    private companion object {
+        /** Longer than a call takes to be sent, or the beginning of its reply to be read. */
+        const val LATER_MILLIS = 100L
+    }
+}
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/ScriptedUpstream.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/ScriptedUpstream.kt
@@ -1,7 +1,7 @@
 package org.shallotplank.gateway
 
 import java.io.InputStream
-import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -17,11 +17,20 @@
         ?.trim()
 }
 
-/** An upstream on loopback where [respond] writes the answer to each request to the socket. */
+/**
+ * An upstream on loopback where [respond] writes the answer to each request to the socket.
+ *
+ * Unless it [readsBodies], bodies stay in the socket and fill its small receive buffer, so that the
+ * sender cannot write a long one.
+ */
 internal class ScriptedUpstream(
+    private val readsBodies: Boolean = true,
     private val respond: (ReadRequest, Socket, requestNumber: Int) -> Unit
 ) : AutoCloseable {
-    private val listening = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val listening = ServerSocket().apply {
+        if (!readsBodies) receiveBufferSize = SMALL_BUFFER_BYTES
+        bind(InetSocketAddress("127.0.0.1", 0), BACKLOG)
+    }
     private val count = AtomicInteger()
     private val sockets = CopyOnWriteArrayList<Socket>()
 
@@ -41,7 +50,7 @@
     private fun serve(socket: Socket) {
         runCatching {
             while (true) {
-                val request = readRequest(socket.getInputStream()) ?: break
+                val request = readRequest(socket.getInputStream(), readsBodies) ?: break
                 requests += request
                 respond(request, socket, count.incrementAndGet())
             }
@@ -56,15 +65,20 @@
 
     private companion object {
         const val BACKLOG = 50
+        const val SMALL_BUFFER_BYTES = 8_192
     }
 }
 
-/** Reads one request with its body of Content-Length bytes, null at the connection's end. */
-internal fun readRequest(input: InputStream): ReadRequest? {
+/**
+ * Reads one request with its body of Content-Length bytes, or only its head unless [readsBody].
+ *
+ * Returns null at the end of the connection.
+ */
+internal fun readRequest(input: InputStream, readsBody: Boolean = true): ReadRequest? {
     val lines = readHeaderLines(input) ?: return null
     val length = lines.firstOrNull { it.startsWith("content-length:", ignoreCase = true) }
         ?.substringAfter(':')?.trim()?.toInt() ?: 0
-    val body = String(input.readNBytes(length))
+    val body = if (readsBody) String(input.readNBytes(length)) else ""
     return ReadRequest(lines.first(), lines.drop(1), body)
 }
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/UpstreamNoticesTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/UpstreamNoticesTest.kt
@@ -23,7 +23,7 @@
     fun closeAll(): Unit = open.forEach { it.close() }
 
     private fun upstream(respond: (ReadRequest, Socket, Int) -> Unit) =
-        ScriptedUpstream(respond).also { open += it }
+        ScriptedUpstream(respond = respond).also { open += it }
 
     private fun answering(extra: String = "") =
         upstream { request, socket, _ -> socket.send(answer(request, extra = extra)) }
