Close the connection of a call that is cancelled

Seen: not by callers. A test that cancels and restarts the following of a table passed though the fault that it should show was there: the answer to the cancelled call was taken for that to the next one on the connection, and so split one answer into two.

Cause: HttpClient.call closed the connection after a failure or a timeout, but a cancellation left by an exception. Its callers that cancel a call today close the client too (Peers) or end the process.

Test: HttpClientTest, ACallThatIsCancelled: "expected GET /second but was GET /first" before, passes now.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
@@ -32,8 +32,8 @@
 /**
  * Client for small calls to one peer, one at a time on a persistent connection.
  *
- * A failed call closes the connection, so that its late answer is never mistaken for that of
- * another call. Use the client only on the event loop of [group].
+ * A failed or cancelled call closes the connection, so that its late answer is never mistaken for
+ * that of another call. Use the client only on the event loop of [group].
  */
 public class HttpClient(private val group: EventLoopGroup, private val address: Address) {
     private var channel: Channel? = null
@@ -41,8 +41,12 @@
 
     /** Makes [call]; fails if the answer has not arrived after [timeout]. */
     public suspend fun call(call: HttpCall, timeout: Duration): Either<CallFailure, HttpReply> {
-        val reply = withTimeoutOrNull(timeout) { exchange(call) }
-        if (reply == null || reply.isLeft()) close()
+        var reply: Either<CallFailure, HttpReply>? = null
+        try {
+            reply = withTimeoutOrNull(timeout) { exchange(call) }
+        } finally {
+            if (reply == null || reply.isLeft()) close()
+        }
         return reply ?: CallFailure.TIMED_OUT.left()
     }
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/HttpClientTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/HttpClientTest.kt
@@ -11,6 +11,9 @@
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 import org.shallotplank.gateway.http.CallFailure
@@ -58,6 +61,27 @@
         }
     }
 
+    /** Guards against tables that are read from the answer to an earlier, cancelled call. */
+    @Nested
+    inner class ACallThatIsCancelled {
+        @Test
+        fun `does not leave its answer to the next one`() {
+            val peer = ScriptedUpstream { request, socket, _ ->
+                if ("/first" in request.line) Thread.sleep(LATER_MILLIS * 3)
+                socket.send(answer(request, request.line))
+            }
+            open += peer
+            val client = HttpClient(group, peer.address)
+            val reply = runBlocking(group.next().asCoroutineDispatcher()) {
+                val first = launch { client.call(HttpCall("GET", "/first"), timeout = 5.seconds) }
+                delay(LATER_MILLIS)
+                first.cancelAndJoin()
+                client.call(HttpCall("GET", "/second"), timeout = 5.seconds)
+            }
+            assertEquals("GET /second HTTP/1.1", reply.getOrNull()?.body?.decodeToString())
+        }
+    }
+
     private companion object {
         /** Longer than a call takes to be sent, or the beginning of its reply to be read. */
         const val LATER_MILLIS = 100L
