Apply the changes of a table in the order in which they were made

Cause: PlatformStore.changes split an answer into rows and removed keys, and TableReplica.apply applied all removals last. A key that is removed and written again within one answer was lost from the copy, whose revision was the newest there was.

TableChanges now holds the changes in their order, and the copy applies them one by one, for each table that is followed. What entries send each other and store is unchanged.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/MetadataStore.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/MetadataStore.kt
@@ -13,12 +13,21 @@
 /** A table as of [revision]. */
 public class TableContents(public val rows: List<StoreRow>, public val revision: StoreRevision)
 
-/** Changes of a table up to [revision], all of one era. */
-public class TableChanges(
-    public val changed: List<StoreRow>,
-    public val removedKeys: List<String>,
-    public val revision: StoreRevision
-)
+/** A change of one row of a table. */
+public sealed interface RowChange {
+    /** The row was added, or replaced the one with the same key. */
+    public data class Written(public val row: StoreRow) : RowChange
+
+    /** The row with [key] was removed. */
+    public data class Removed(public val key: String) : RowChange
+}
+
+/**
+ * Changes of a table up to [revision], all of one era.
+ *
+ * @property inOrder the changes in the order in which they were made; a row may change repeatedly.
+ */
+public class TableChanges(public val inOrder: List<RowChange>, public val revision: StoreRevision)
 
 /** Failure of a call to the store. */
 public sealed interface StoreFailure {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableReplica.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableReplica.kt
@@ -51,24 +51,34 @@
         return true
     }
 
-    /** Applies changes of the copy's era that are not older; returns whether a row changed. */
+    /** Applies [changes] of the copy's era that are not older; returns whether a row changed. */
     public fun apply(changes: TableChanges): Boolean {
         if (changes.revision.era != revision.era || changes.revision < revision) return false
         revision = changes.revision
         var isChanged = false
-        for (row in changes.changed) {
-            lostRowsByKey -= row.key
-            if ((rowsByKey[row.key]?.version ?: -1) >= row.version) continue
-            rowsByKey[row.key] = row
-            isChanged = true
-        }
-        for (key in changes.removedKeys) {
-            val wasLost = lostRowsByKey.remove(key) != null
-            if (rowsByKey.remove(key) != null || wasLost) isChanged = true
+        for (change in changes.inOrder) {
+            if (apply(change)) isChanged = true
         }
         return isChanged
     }
 
+    private fun apply(change: RowChange): Boolean = when (change) {
+        is RowChange.Written -> write(change.row)
+        is RowChange.Removed -> remove(change.key)
+    }
+
+    private fun write(row: StoreRow): Boolean {
+        lostRowsByKey -= row.key
+        if ((rowsByKey[row.key]?.version ?: -1) >= row.version) return false
+        rowsByKey[row.key] = row
+        return true
+    }
+
+    private fun remove(key: String): Boolean {
+        val wasLost = lostRowsByKey.remove(key) != null
+        return rowsByKey.remove(key) != null || wasLost
+    }
+
     /** Forgets the [lostRows], whose writers have had the time to write them again. */
     public fun forgetLostRows(): Boolean {
         val hadLostRows = lostRowsByKey.isNotEmpty()
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/SingleTableStore.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/SingleTableStore.kt
@@ -5,6 +5,7 @@
 import arrow.core.right
 import kotlin.time.Duration
 import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.RowChange
 import org.shallotplank.gateway.store.StoreFailure
 import org.shallotplank.gateway.store.StoreRevision
 import org.shallotplank.gateway.store.StoreRow
@@ -23,7 +24,7 @@
     /** Removes the row with [key]. */
     fun remove(key: String) {
         val next = replica.revision.copy(version = replica.revision.version + 1)
-        replica.apply(TableChanges(emptyList(), listOf(key), next))
+        replica.apply(TableChanges(listOf(RowChange.Removed(key)), next))
     }
 
     /** The table as of now. */
@@ -52,7 +53,8 @@
     ): Either<StoreFailure, StoreRevision> {
         if (replica.revisionOf(key) != expected) return StoreFailure.Conflict.left()
         val next = replica.revision.copy(version = replica.revision.version + 1)
-        replica.apply(TableChanges(listOf(StoreRow(key, value, next.version)), emptyList(), next))
+        val row = StoreRow(key, value, next.version)
+        replica.apply(TableChanges(listOf(RowChange.Written(row)), next))
         return next.right()
     }
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/TableReplicaTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/TableReplicaTest.kt
@@ -5,6 +5,7 @@
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import org.junit.jupiter.api.Nested
+import org.shallotplank.gateway.store.RowChange
 import org.shallotplank.gateway.store.StoreRevision
 import org.shallotplank.gateway.store.StoreRow
 import org.shallotplank.gateway.store.TableChanges
@@ -35,7 +36,7 @@
         fun `are ignored as changes`() {
             read(era = 2, version = 35, "a")
             val row = StoreRow("a", "of era 1", 90)
-            val changes = TableChanges(listOf(row), emptyList(), StoreRevision(1, 90))
+            val changes = TableChanges(listOf(RowChange.Written(row)), StoreRevision(1, 90))
             assertFalse(replica.apply(changes))
             assertEquals(StoreRevision(2, 35), replica.revision)
         }
@@ -63,7 +64,7 @@
             assertTrue(read(era = 2, version = 30, "a"))
             assertEquals(listOf("b", "c"), lost())
             val row = StoreRow("b", "again", 31)
-            replica.apply(TableChanges(listOf(row), emptyList(), StoreRevision(2, 31)))
+            replica.apply(TableChanges(listOf(RowChange.Written(row)), StoreRevision(2, 31)))
             assertEquals(listOf("c"), lost())
         }
 
@@ -71,7 +72,7 @@
         fun `are forgotten when somebody removes them`() {
             read(era = 1, version = 36, "a", "b")
             read(era = 2, version = 30, "a")
-            val changes = TableChanges(emptyList(), listOf("b"), StoreRevision(2, 31))
+            val changes = TableChanges(listOf(RowChange.Removed("b")), StoreRevision(2, 31))
             assertTrue(replica.apply(changes))
             assertEquals(emptyList(), lost())
         }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/TestTables.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/TestTables.kt
@@ -39,7 +39,7 @@
         val end = Clock.System.now() + wait
         while (revision == since && Clock.System.now() < end) delay(POLL_INTERVAL)
         if (revision != since) return StoreFailure.HistoryGone.left()
-        return TableChanges(emptyList(), emptyList(), since).right()
+        return TableChanges(emptyList(), since).right()
     }
 
     override suspend fun write(
