End an attempt that gets a failure without an attempt id

Cause: on a connection in use again, an answer without an attempt id was skipped as a late one to an earlier request, with no line in the log. Where it was the failure of the open request, a second answer, a success, was taken for the first.

Such a failure now ends the attempt and the connection; the request may be tried elsewhere, since only idempotent ones are sent on a connection in use again. A success without an id is still skipped, for the answer to the open request would have one. SP5030 names each answer that is skipped.

Test: BrokenAnswerTest, AnAnswerWithoutAnAttemptId: 2 of 4 failed before.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -58,7 +58,7 @@
         this,
         clock
     )
-    private val attempts = AttemptContext(headers, clock, pool, ::emit, ::recordPause)
+    private val attempts = AttemptContext(headers, clock, pool, ::emit, log, ::recordPause)
     private val open = LinkedHashMap<RequestId, Exchange>()
     private val openByConnection = HashMap<CallerConnection, Exchange>()
     private val events = ArrayDeque<GatewayEvent>()
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -23,6 +23,9 @@
 import org.shallotplank.core.gateway.EngineLoad
 import org.shallotplank.core.gateway.GatewayEvent
 import org.shallotplank.core.gateway.UpstreamKey
+import org.shallotplank.core.log.LogEvent
+import org.shallotplank.core.log.LogRecord
+import org.shallotplank.core.log.logRecord
 import org.shallotplank.gateway.Exchange
 import org.shallotplank.gateway.HeaderNames
 
@@ -32,6 +35,7 @@
     val clock: Clock,
     val pool: UpstreamPool,
     val emit: (GatewayEvent) -> Unit,
+    val log: (LogRecord) -> Unit,
     /** Called with the pause before each event of a stream except the first. */
     val recordPause: (UpstreamKey, Duration) -> Unit
 )
@@ -113,9 +117,11 @@
         if (rate != null) reportRate(response, rate)
         val isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (isInterim || belongsToOtherRequest(response)) {
-            isSkipping = true
-            isConnectionUnusable = isConnectionUnusable || !isInterim
-            countSkipped(SKIPPED_HEAD_BYTES)
+            skip(response, isInterim)
+            return
+        }
+        if (isUnattributable(response)) {
+            fail(AttemptFailure.GARBLED, "status ${response.status().code()} without attempt id")
             return
         }
         // A repetition of such a refusal would look like the answer to the next request.
@@ -144,6 +150,24 @@
         }
     }
 
+    private fun skip(response: HttpResponse, isInterim: Boolean) {
+        isSkipping = true
+        countSkipped(SKIPPED_HEAD_BYTES)
+        if (isInterim) return
+        isConnectionUnusable = true
+        context.log(
+            logRecord(
+                LogEvent.GATEWAY_ANSWER_SKIPPED,
+                "request" to exchange.id,
+                "attempt_id" to exchange.message.headers[context.headers.attemptId],
+                "attempt" to number,
+                "upstream" to target.key,
+                "status" to response.status().code(),
+                "answered_id" to response.headers()[context.headers.attemptId]
+            )
+        )
+    }
+
     private fun reportRate(response: HttpResponse, rate: Double?) {
         if (response.status().code() == MISDIRECTED) return
         context.emit(GatewayEvent.UpstreamRateObserved(target.key, rate))
@@ -156,20 +180,38 @@
      */
     private fun isInvalid(response: HttpResponse): Boolean {
         val headers = response.headers()
-        val isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS
         val isSigned = headers.contains(context.headers.signature) &&
             headers.contains(context.headers.attemptId)
-        return headers.contains(HttpHeaderNames.CONTENT_ENCODING) || (isSuccess && !isSigned)
+        return headers.contains(HttpHeaderNames.CONTENT_ENCODING) ||
+            (isSuccess(response) && !isSigned)
     }
 
-    /** Whether [response] is a late or duplicate answer to an earlier request. */
+    /**
+     * Whether [response] is a late or duplicate answer to an earlier request.
+     *
+     * A success without an attempt id is not the answer to this one, which would echo the id.
+     */
     private fun belongsToOtherRequest(response: HttpResponse): Boolean {
         val sent = exchange.message.headers[context.headers.attemptId]
         val echoed = response.headers()[context.headers.attemptId]
-        if (echoed == null) return connection?.isFirstRequest == false && !isNotRun(response)
+        if (echoed == null) return connection?.isFirstRequest == false && isSuccess(response)
         return sent != null && echoed != sent
     }
 
+    /**
+     * Whether [response] may answer this request or an earlier one of the connection.
+     *
+     * If it is skipped as a late answer, a second answer to this request could turn the failure
+     * that it states into a success.
+     */
+    private fun isUnattributable(response: HttpResponse): Boolean =
+        response.headers()[context.headers.attemptId] == null &&
+            connection?.isFirstRequest == false &&
+            !isNotRun(response)
+
+    private fun isSuccess(response: HttpResponse): Boolean =
+        response.status().codeClass() == HttpStatusClass.SUCCESS
+
     private fun isNotRun(response: HttpResponse): Boolean =
         response.status().code() == MISDIRECTED ||
             (response.headers().contains(context.headers.notRun) && response.status().code() >= 400)
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/BrokenAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/BrokenAnswerTest.kt
@@ -65,6 +65,59 @@
             }
     }
 
+    /** Guards against a success where the upstream had answered with a failure. */
+    @Nested
+    inner class AnAnswerWithoutAnAttemptId {
+        private val failure = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno"
+        private val keepAlive = "Keep-Alive: timeout=9\r\n"
+
+        /** Keeps its connections open; answers "twice" with a failure first, then with a success. */
+        private fun answeringTwice() = upstream { request, socket ->
+            if ("/twice" in request.line) {
+                socket.send(failure)
+                Thread.sleep(20)
+            }
+            socket.send(answer(request, extra = keepAlive))
+        }
+
+        private fun twice() = request("safe").replace("/x", "/twice")
+
+        @Test
+        fun `is delivered if it is the only one of its connection`() {
+            val reply = gateway(answeringTwice(), maxAttempts = 1).exchange(twice())
+            assertContains(reply, "500 Internal Server Error")
+            assertTrue(reply.endsWith("no"))
+        }
+
+        @Test
+        fun `is not taken for a late one if a success follows`() {
+            val gateway = gateway(answeringTwice(), maxAttempts = 1)
+            assertTrue(gateway.exchange(request("safe", attempt = "a0")).endsWith("ok"))
+            assertContains(gateway.exchange(twice()), "502 Bad Gateway")
+        }
+
+        @Test
+        fun `is replaced by that of another upstream on a connection in use again`() {
+            val other = upstream { request, socket -> socket.send(answer(request, "other")) }
+            val gateway = gateway(answeringTwice(), other)
+            assertTrue(gateway.exchange(request("safe", attempt = "a0")).endsWith("ok"))
+            assertTrue(gateway.exchange(twice()).endsWith("other"))
+        }
+
+        @Test
+        fun `is skipped if it is a success, which would have one`() {
+            val only = upstream { request, socket ->
+                val late = answer(request, "late", extra = keepAlive)
+                    .replace("X-Attempt: a1\r\n", "")
+                if (request.header("X-Attempt") == "a1") socket.send(late)
+                socket.send(answer(request, extra = keepAlive))
+            }
+            val gateway = gateway(only, maxAttempts = 1)
+            assertTrue(gateway.exchange(request("safe", attempt = "a0")).endsWith("ok"))
+            assertTrue(gateway.exchange(request("safe")).endsWith("ok"))
+        }
+    }
+
     /** Guards against callers who find another answer's text in the middle of theirs. */
     @Nested
     inner class AnAnswerThatBrokeOffAfterItsBeginning {
