Reject a head that is joined from two answers

Cause: an upstream broke off a late answer inside its head, and the head of the next answer on the connection continued it. "HTTP/1.1 200 " and "HTTP/1.1 500 Failed", with the attempt id and the signature of the open request, were decoded as one success.

Each head begins with its protocol version, so that a joined one has a second one inside, or none at its beginning. JoinedHeadHandler marks such heads as undecodable, which ends the attempt.

Test: BrokenAnswerTest, ALateAnswerThatBreaksOff, with the late answer broken off behind each character: failed before, passes now.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
@@ -23,6 +23,7 @@
 import org.shallotplank.core.gateway.ConnectFailure
 import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.gateway.http.EndOfInputHandler
+import org.shallotplank.gateway.http.JoinedHeadHandler
 
 /** The upstream incarnation and address that a connection is opened to. */
 internal data class UpstreamTarget(val key: UpstreamKey, val address: Address)
@@ -111,6 +112,7 @@
                 .addLast(UnsolicitedBytesHandler(created))
                 .addLast(HttpClientCodec())
                 .addLast(EndOfInputHandler())
+                .addLast(JoinedHeadHandler())
                 .addLast(created)
         }.connect(InetSocketAddress(target.address.host, target.address.port))
         future.addListener(
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/BrokenAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/BrokenAnswerTest.kt
@@ -71,7 +71,7 @@
         private val failure = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno"
         private val keepAlive = "Keep-Alive: timeout=9\r\n"
 
-        /** Keeps its connections open; answers "twice" with a failure first, then with a success. */
+        /** Keeps its connections; answers "twice" with a failure first, then with a success. */
         private fun answeringTwice() = upstream { request, socket ->
             if ("/twice" in request.line) {
                 socket.send(failure)
@@ -118,6 +118,52 @@
         }
     }
 
+    /** Guards against answers with the status of one answer and the signature of another. */
+    @Nested
+    inner class ALateAnswerThatBreaksOff {
+        private val keepAlive = "Keep-Alive: timeout=9\r\n"
+        private val wholeLength = answer(
+            ReadRequest(line = "", headers = listOf("X-Attempt: a0"), body = ""),
+            extra = keepAlive
+        ).length
+
+        /** Answers with a failure, behind [length] characters of its last answer once more. */
+        private fun replyBehind(length: Int): String {
+            var last = ""
+            val only = upstream { request, socket ->
+                val isFirst = last.isEmpty()
+                val status = if (isFirst) "200 OK" else "500 Failed"
+                val own = answer(request, status = status, extra = keepAlive)
+                socket.send(last.take(length) + own)
+                last = own
+            }
+            val gateway = gateway(only, maxAttempts = 1)
+            assertTrue(gateway.exchange(request("safe", attempt = "a0")).endsWith("ok"))
+            return gateway.exchange(request("safe"))
+        }
+
+        @Test
+        fun `is not joined with the next one wherever it ends`() {
+            for (length in 1 until wholeLength) {
+                val reply = replyBehind(length)
+                assertContains(reply, "502 Bad Gateway", message = "$length characters: $reply")
+            }
+        }
+
+        @Test
+        fun `is not seen in an answer that came through a proxy`() {
+            val only = upstream { request, socket ->
+                socket.send(answer(request, extra = "Via: HTTP/1.1 proxy.example\r\n"))
+            }
+            assertTrue(gateway(only).exchange(request("safe")).endsWith("ok"))
+        }
+
+        @Test
+        fun `is skipped if it is whole`() {
+            assertContains(replyBehind(wholeLength), "500 Internal Server Error")
+        }
+    }
+
     /** Guards against callers who find another answer's text in the middle of theirs. */
     @Nested
     inner class AnAnswerThatBrokeOffAfterItsBeginning {
