Pass a reset on through the relay

The relay closed the keeper's connection in an orderly way whatever had closed the engine's, so that half of an answer without a length looked whole.

The relay now closes in an orderly way only after an end of input, and after what it has still to write; otherwise it resets the connection.

Test: RankRelayTest, "is reset behind the relay if its connection was reset", failed before ("completed with the result -1"), passes now. The relay can be closed, which the test needs.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/relay/RankRelay.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/relay/RankRelay.kt
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
@@ -10,12 +11,14 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.timeout.ReadTimeoutHandler
 import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import org.shallotplank.core.Address
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
@@ -31,7 +34,7 @@
     private val address: Address,
     private val engine: Address,
     private val log: (LogRecord) -> Unit
-) {
+) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
 
     /** Starts to listen; throws [java.io.IOException] if the address cannot be bound. */
@@ -58,6 +61,11 @@
         )
     }
 
+    /** Closes all connections and stops listening. */
+    override fun close() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+
     private fun connect(accepted: SocketChannel) {
         val opened = Bootstrap()
             .group(accepted.eventLoop())
@@ -96,13 +104,33 @@
     }
 }
 
-/** Forwards the bytes of one connection to the [other] one, and closes both together. */
+/**
+ * Forwards the bytes of one connection to the [other] one, and closes both together.
+ *
+ * An answer without a length ends with its connection, so the [other] one is closed in an orderly
+ * way only after an end of input, and reset otherwise.
+ */
 private class ForwardingHandler(private val other: Channel) : ChannelInboundHandlerAdapter() {
+    private var isInputEnded = false
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+    }
+
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event !is ChannelInputShutdownEvent) return
+        isInputEnded = true
+        other.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+        context.close()
+    }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         if (other.isActive) other.writeAndFlush(message) else ReferenceCountUtil.release(message)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        if (isInputEnded || !other.isOpen) return
+        other.config().setOption(ChannelOption.SO_LINGER, 0)
         other.close()
     }
 
