--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -69,7 +69,7 @@
         val requestId: RequestId,
         val attempt: Int,
         val cause: AttemptFailure,
-        /** For the log, how the connection was lost. */
+        /** For the log, what was seen of [cause]. */
         val detail: String? = null
     ) : GatewayEvent
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -104,7 +104,7 @@
 
     private fun process(part: HttpObject) {
         if (part.decoderResult().isFailure) {
-            fail(AttemptFailure.GARBLED)
+            fail(AttemptFailure.GARBLED, part.decoderResult().cause().toString())
             return
         }
         if (part is HttpResponse) onHead(part)
