Test that the store's client rejects a joined head too

Guards against a conflict of the store behind the beginning of a late success being taken for a write.

--- a/gateway/src/test/kotlin/org/shallotplank/gateway/HttpClientTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/HttpClientTest.kt
@@ -61,6 +61,18 @@
         }
     }
 
+    /** Guards against a conflict of the store that is taken for a write. */
+    @Nested
+    inner class AReplyBehindTheBeginningOfALateOne {
+        @Test
+        fun `is lost`() {
+            val reply = call {
+                it.send("HTTP/1.1 200 HTTP/1.1 412 Conflict\r\nContent-Length: 2\r\n\r\nno")
+            }
+            assertEquals(CallFailure.CONNECTION_LOST.left(), reply)
+        }
+    }
+
     /** Guards against tables that are read from the answer to an earlier, cancelled call. */
     @Nested
     inner class ACallThatIsCancelled {
