Accept fractions in the bounds of a gateway entry

A deployment whose retry slack was 66.9 had no entry: each ended at its start with exit status 2, 'retry_slack: expected a whole number from 0 to 1000000'. Bounds may be fractions. Counts are now rounded down, so that a bound is not exceeded, and times keep their fractions of a second.

--- a/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
@@ -55,17 +55,17 @@
     )
     val maxConnections = KeySpec(
         name = "max_connections",
-        rule = wholeNumber(16..1_000_000, unit = "connections"),
+        rule = roundedDown(16..1_000_000, unit = "connections"),
         doc = "Connections that the process may have open; most of them may be callers'."
     )
     val stopGrace = KeySpec(
         name = "stop_grace_seconds",
-        rule = seconds(1..HOUR_SECONDS),
+        rule = fractionalSeconds(1..HOUR_SECONDS),
         doc = "Time between the request to stop and the moment at which the process is killed."
     )
     val entryListTtl = KeySpec(
         name = "entry_list_ttl_seconds",
-        rule = seconds(1..HOUR_SECONDS),
+        rule = fractionalSeconds(1..HOUR_SECONDS),
         doc = "Longest time for which callers may keep a list of entries; they are given at most " +
             "two seconds of it."
     )
@@ -76,12 +76,12 @@
     )
     val retryWindow = KeySpec(
         name = "retry_window_seconds",
-        rule = seconds(1..HOUR_SECONDS),
+        rule = fractionalSeconds(1..HOUR_SECONDS),
         doc = "Span over which retries are counted."
     )
     val retrySlack = KeySpec(
         name = "retry_slack",
-        rule = wholeNumber(0..MAX_RETRY_SLACK, unit = "retries"),
+        rule = roundedDown(0..MAX_RETRY_SLACK, unit = "retries"),
         doc = "Retries in any such span that are free, over all entries together."
     )
     val areFencesChecked = KeySpec(
--- a/config/src/main/kotlin/org/shallotplank/config/ValueRule.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/ValueRule.kt
@@ -5,6 +5,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import org.shallotplank.core.Address
@@ -90,6 +91,15 @@
     parse = { value -> (value as? Long)?.takeIf { it in range.asLongs() }?.toInt() }
 )
 
+/** A number that may have a fraction, which is dropped: a bound must not exceed its setting. */
+internal fun roundedDown(range: IntRange, unit: String? = null): ValueRule<Int> = ValueRule(
+    type = "float",
+    expected = "a number from ${range.first} to ${range.last}",
+    wrongExample = range.first - 1L,
+    unit = unit,
+    parse = { value -> numberIn(range, value)?.toInt() }
+)
+
 internal fun ratio(): ValueRule<Double> = ValueRule(
     type = "float",
     expected = "a number from 0.0 to 1.0",
@@ -100,6 +110,16 @@
 internal fun seconds(range: IntRange): ValueRule<Duration> =
     duration(range, unit = "seconds", { it.seconds }, { it.inWholeSeconds })
 
+/** A duration whose number of seconds may have a fraction. */
+internal fun fractionalSeconds(range: IntRange): ValueRule<Duration> = ValueRule(
+    type = "float",
+    expected = "a number of seconds from ${range.first} to ${range.last}",
+    wrongExample = range.first - 1L,
+    unit = "seconds",
+    print = { it.toDouble(DurationUnit.SECONDS).toString() },
+    parse = { value -> numberIn(range, value)?.seconds }
+)
+
 internal fun millis(range: IntRange): ValueRule<Duration> =
     duration(range, unit = "milliseconds", { it.milliseconds }, { it.inWholeMilliseconds })
 
@@ -174,6 +194,10 @@
     }
 )
 
+/** The number that [value] is, null if it is another type, not a number or outside [range]. */
+private fun numberIn(range: IntRange, value: Any): Double? =
+    (value as? Number)?.toDouble()?.takeIf { it >= range.first && it <= range.last }
+
 private fun IntRange.asLongs(): LongRange = first.toLong()..last.toLong()
 
 private fun parseAddress(text: String): Address? {
