Reject answers whose status is outside 100 to 599

An engine in trouble sends an answer with status 000, and its caller gets it as an answer. The codec accepts any three digits, and nothing checked the range: InvalidStatusTest saw 000, 007, 099, 600 and 999 delivered, 600 with the not-run header taken for a promise, and HttpClient return such replies of the store, a relay or another entry. Agents passed on 600 and above (HttpUpstreamTest failed with 600; the JDK's client rejects statuses below 100).

The handler that marks joined heads as undecodable now does so for these statuses too, so the attempt ends as lost: idempotent requests are retried, others end with 502.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
@@ -92,7 +92,7 @@
             created.pipeline()
                 .addLast(HttpClientCodec())
                 .addLast(EndOfInputHandler())
-                .addLast(JoinedHeadHandler())
+                .addLast(InvalidHeadHandler())
                 .addLast(HttpObjectAggregator(MAX_REPLY_BYTES))
                 .addLast(ReplyHandler())
         }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
@@ -23,7 +23,7 @@
 import org.shallotplank.core.gateway.ConnectFailure
 import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.gateway.http.EndOfInputHandler
-import org.shallotplank.gateway.http.JoinedHeadHandler
+import org.shallotplank.gateway.http.InvalidHeadHandler
 
 /** The upstream incarnation and address that a connection is opened to. */
 internal data class UpstreamTarget(val key: UpstreamKey, val address: Address)
@@ -112,7 +112,7 @@
                 .addLast(UnsolicitedBytesHandler(created))
                 .addLast(HttpClientCodec())
                 .addLast(EndOfInputHandler())
-                .addLast(JoinedHeadHandler())
+                .addLast(InvalidHeadHandler())
                 .addLast(created)
         }.connect(InetSocketAddress(target.address.host, target.address.port))
         future.addListener(
--- a/runtime/src/main/kotlin/org/shallotplank/runtime/agent/HttpUpstream.kt
+++ b/runtime/src/main/kotlin/org/shallotplank/runtime/agent/HttpUpstream.kt
@@ -85,6 +85,8 @@
     }
 
     private suspend fun answer(response: HttpResponse, sink: AnswerSink): UpstreamEnd {
+        // The engine below accepts any status from 100 to 999.
+        if (response.status.value !in STATUSES) return UpstreamEnd.Lost
         val type = response.contentType()
         sink.onHead(AnswerHead(response.status.value, type?.toString()))
         val channel = response.bodyAsChannel()
@@ -136,6 +138,7 @@
 
     private companion object {
         const val CHUNK_BYTES = 32 * 1024
+        val STATUSES = 100..599
         val CONNECT_TIMEOUT: Duration = 1.seconds
         val LOAD_TIMEOUT: Duration = 1.seconds
         val json = Json { ignoreUnknownKeys = true }
