Fetch a crash once per entry instead of once per pair of entries

Each entry that learned of a crash counted the version of its table up, so that all others fetched the table from it as well. The version of "prompt-crashes" is now a digest of what is reported, and an entry fetches only versions whose rows it does not have, at most every 500 ms. Any entry that has learned of a crash still passes it on, so it does not depend on its observer.

Two further loops found while simulating: - Crashes in reports were forgotten after 60 s and then learned again from entries that had learned them later, without end. They are now remembered for 10 minutes and reported for 60 s. - Of more than 64 crashes each entry dropped those that it had learned first, got them back from the others and dropped others. The oldest crash by time is dropped now.

--- a/core/src/main/kotlin/org/shallotplank/core/quarantine/PartQuarantine.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/quarantine/PartQuarantine.kt
@@ -51,7 +51,7 @@
  * Entries exchange [reported] crashes and [merge] them; the result does not depend on order or
  * repetition.
  *
- * @property crashes the latest crashes, in the order in which they became known.
+ * @property crashes the latest crashes by upstream.
  * @property history what is known of parts, those with the latest answers last.
  * @property refused parts that are refused.
  * @property revision increases with each change that other entries should learn.
@@ -86,10 +86,11 @@
         )
         val merged = known?.merge(marked) ?: marked
         if (merged.parts.isEmpty() || merged == known) return this
-        val kept = crashes.mutate { map ->
-            map[crash.upstream] = merged
-            if (map.size > MAX_CRASHES) map.remove(map.keys.first())
-        }
+        val all = crashes.put(crash.upstream, merged)
+        // By time, since entries that dropped different crashes would report them without end.
+        val dropped = all.values.minBy { it.at }.upstream.takeIf { all.size > MAX_CRASHES }
+        if (dropped == crash.upstream) return this
+        val kept = dropped?.let(all::remove) ?: all
         return copy(crashes = kept, revision = revision + 1).attributed()
     }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -113,7 +113,8 @@
                 onLearned = { exchanges.emit(GatewayEvent.UpstreamRatesLearned(it)) },
                 log = log
             )
-        )
+        ),
+        clock
     )
 
     /** Locations of all registered entries, running or not. */
@@ -375,7 +376,7 @@
     private suspend fun onPeerReport(view: PeerView, client: HttpClient) {
         val report = view.report ?: return
         report.crashes.forEach(crashes::learn)
-        peerTables.follow(view, client)
+        peerTables.follow(view) { table -> fetchTable(client, table, TABLE_TIMEOUT) }
         for ((table, follower) in followers) {
             val offered = report.revisionOf(table) ?: continue
             val isAnswered = clock.now() - follower.answeredAt < STORE_STALENESS_BOUND
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerTables.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerTables.kt
@@ -1,8 +1,9 @@
 package org.shallotplank.gateway.peer
 
-import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 import kotlinx.serialization.json.Json
-import org.shallotplank.gateway.http.HttpClient
 import org.shallotplank.gateway.store.StoreRow
 
 /**
@@ -12,12 +13,15 @@
  *   empty.
  * @property rows the rows as of now.
  * @property learn called with the rows of another entry.
+ * @property isMerged whether what an entry learns becomes part of its own copy and versions are
+ *   digests, equal for equal rows at all entries. Entries then fetch rows once that many offer.
  */
 internal class PeerTable(
     val name: String,
     val version: () -> Long?,
     val rows: () -> List<RowCopy>,
-    val learn: (List<StoreRow>) -> Unit
+    val learn: (List<StoreRow>) -> Unit,
+    val isMerged: Boolean = false
 )
 
 /**
@@ -27,7 +31,9 @@
  * New state travels in this way because entries of earlier builds reject reports with unknown
  * fields, but skip unknown tables.
  */
-internal class PeerTables(private val tables: List<PeerTable>) {
+internal class PeerTables(private val tables: List<PeerTable>, private val clock: Clock) {
+    private val merged = tables.filter { it.isMerged }.associate { it.name to MergedVersions() }
+
     /** Versions of the tables that are not empty, by name. */
     val versions: Map<String, Long>
         get() = tables.mapNotNull { table -> table.version()?.let { table.name to it } }.toMap()
@@ -38,21 +44,60 @@
         return table.version()?.let { TableCopy(it, table.rows()) }
     }
 
-    /** Fetches the tables of the entry in [view] that differ from those fetched last. */
-    suspend fun follow(view: PeerView, client: HttpClient) {
+    /** Fetches by [fetch] the tables of the entry in [view] whose rows are not known yet. */
+    suspend fun follow(view: PeerView, fetch: suspend (table: String) -> TableCopy?) {
         val report = view.report ?: return
         for (table in tables) {
             val offered = report.tableVersions[table.name]
                 ?.let { OfferedVersion(report.incarnation, it) }
-            if (offered == null || offered == view.fetchedVersions[table.name]) continue
-            val copy = fetchTable(client, table.name, TIMEOUT) ?: continue
-            view.fetchedVersions[table.name] = offered
-            table.learn(copy.storeRows())
+            if (offered != null && takeIfWanted(table, offered, view)) {
+                fetch(table.name)?.let { learn(table, offered, it, view) }
+            }
         }
     }
 
+    private fun takeIfWanted(table: PeerTable, offered: OfferedVersion, view: PeerView): Boolean {
+        if (offered == view.fetchedVersions[table.name]) return false
+        val versions = merged[table.name] ?: return true
+        table.version()?.let(versions::add)
+        return versions.takeIfWanted(offered.version, clock.now())
+    }
+
+    private fun learn(table: PeerTable, offered: OfferedVersion, copy: TableCopy, view: PeerView) {
+        view.fetchedVersions[table.name] = offered
+        // The copy may be newer than the offer.
+        merged[table.name]?.add(copy.version)
+        table.learn(copy.storeRows())
+    }
+}
+
+/** Versions of a merged table whose rows an entry has. */
+private class MergedVersions {
+    private val known = LinkedHashSet<Long>()
+    private var fetchedAt: Instant = Instant.DISTANT_PAST
+
+    fun add(version: Long) {
+        known -= version
+        known += version
+        if (known.size > MAX_KNOWN) known -= known.first()
+    }
+
+    /** Whether to fetch [version] at [now], which counts as done. */
+    fun takeIfWanted(version: Long, now: Instant): Boolean {
+        if (version in known || now - fetchedAt < MIN_INTERVAL) return false
+        fetchedAt = now
+        return true
+    }
+
     private companion object {
-        val TIMEOUT = 1.seconds
+        /** More than there are entries, each of which may have a version of its own for a while. */
+        const val MAX_KNOWN = 1_024
+
+        /**
+         * Bounds the fetches while entries add different knowledge to the same crash. Any entry
+         * that has merged the others' rows can be asked next, so that a few fetches suffice.
+         */
+        val MIN_INTERVAL = 500.milliseconds
     }
 }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PromptCrashTable.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PromptCrashTable.kt
@@ -1,5 +1,7 @@
 package org.shallotplank.gateway.peer
 
+import java.nio.ByteBuffer
+import java.security.MessageDigest
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.PersistentList
@@ -25,12 +27,50 @@
     quarantine: () -> PartQuarantine,
     onLearned: (PersistentList<PromptCrash>) -> Unit,
     log: (LogRecord) -> Unit
-) = PeerTable(
-    name = PROMPT_CRASHES,
-    version = { quarantine().revision.takeIf { it > 0 } },
-    rows = { quarantine().reported.map { it.encode(clock) } },
-    learn = { rows -> onLearned(rows.mapNotNull { decode(it, clock, log) }.toPersistentList()) }
-)
+): PeerTable {
+    val digest = CrashDigest()
+    return PeerTable(
+        name = PROMPT_CRASHES,
+        version = { digest.of(quarantine()) },
+        rows = { quarantine().reported.map { it.encode(clock) } },
+        learn = { rows ->
+            onLearned(rows.mapNotNull { decode(it, clock, log) }.toPersistentList())
+        },
+        isMerged = true
+    )
+}
+
+/** Digest of the crashes that an entry reports; equal for equal crashes at all entries. */
+private class CrashDigest {
+    private var revision = 0L
+    private var crashes: Map<String, PromptCrash> = emptyMap()
+    private var digest: Long? = null
+
+    fun of(quarantine: PartQuarantine): Long? {
+        if (quarantine.revision != revision || quarantine.crashes !== crashes) {
+            revision = quarantine.revision
+            crashes = quarantine.crashes
+            digest = quarantine.reported.takeIf { it.isNotEmpty() }?.let(::digestOf)
+        }
+        return digest
+    }
+
+    /** Leaves out when the crashes happened, which entries know only roughly. */
+    private fun digestOf(reported: List<PromptCrash>): Long {
+        val sha = MessageDigest.getInstance("SHA-256")
+        fun add(values: List<String>) = values.forEach { value ->
+            val bytes = value.toByteArray()
+            sha.update(ByteBuffer.allocate(Int.SIZE_BYTES).putInt(bytes.size).array())
+            sha.update(bytes)
+        }
+        for (crash in reported.sortedBy { it.upstream }) {
+            add(listOf(crash.upstream, "${crash.parts.size}"))
+            add(crash.parts.map { it.value }.sorted())
+            add(crash.establishedParts.map { it.value }.sorted())
+        }
+        return ByteBuffer.wrap(sha.digest()).getLong() and Long.MAX_VALUE
+    }
+}
 
 private fun PromptCrash.encode(clock: Clock): RowCopy {
     val row = PromptCrashRow(
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/SharedCrashes.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/SharedCrashes.kt
@@ -1,6 +1,7 @@
 package org.shallotplank.gateway.peer
 
 import kotlin.time.Clock
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import org.shallotplank.core.AttemptId
@@ -18,7 +19,9 @@
     private val seenAt = LinkedHashMap<KnownCrash, Instant>()
 
     /** Crashes to report to the other entries. */
-    val recent: List<KnownCrash> get() = seenAt.keys.toList()
+    val recent: List<KnownCrash>
+        get() = clock.now().let { now -> seenAt.filterValues { now - it <= REPORT_PERIOD } }
+            .keys.toList()
 
     /** Adds the crashes of [record], which this entry observed. */
     fun add(record: CrashRecord) {
@@ -43,12 +46,18 @@
         onLearned(record)
     }
 
-    /** Drops the crashes that are no longer reported at [now]. */
+    /** Forgets at [now] the crashes that no other entry reports any more. */
     fun expire(now: Instant) {
-        seenAt.values.removeAll { now - it > REPORT_PERIOD }
+        seenAt.values.removeAll { now - it > MEMORY }
     }
 
     private companion object {
         val REPORT_PERIOD = 60.seconds
+
+        /**
+         * Longer than [REPORT_PERIOD] by far, since entries stop reporting a crash at different
+         * times: one that forgot it at once would learn it again from the others, without end.
+         */
+        val MEMORY = 10.minutes
     }
 }
