Poll peers often enough that they stay alive among many entries

With 69 peers the interval was 2.76 s, longer than the 2 s for which a report counts, so that entries appeared and disappeared.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -82,7 +82,7 @@
         own = settings.peerAddress,
         scope = scope,
         clock = clock,
-        livenessTimeout = PEER_TIMEOUT,
+        livenessTimeout = Peers.LIVENESS_TIMEOUT,
         log = log,
         onReport = ::onPeerReport
     )
@@ -443,9 +443,6 @@
         val ENTRY_WAIT = 4_000.milliseconds
         val ENTRY_POLL_INTERVAL = 500.milliseconds
 
-        /** Covers several reports of an entry; see [Peers]. */
-        val PEER_TIMEOUT = 2.seconds
-
         /** Age of the last store contact above which newer tables are fetched from peers. */
         val STORE_STALENESS_BOUND = 2_000.milliseconds
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
@@ -126,10 +126,13 @@
     internal companion object {
         const val REPORT_PATH = "/peer/report"
         const val TABLE_PATH = "/peer/table"
+
+        /** Covers one failed poll and the next one; an ended entry must not be listed longer. */
+        val LIVENESS_TIMEOUT = 2.seconds
         private const val OK = 200
 
         /** Short relative to the time after which an ended entry must no longer be listed. */
-        private val TIMEOUT = 800.milliseconds
+        internal val TIMEOUT = 800.milliseconds
         private val UNREACHABLE_INTERVAL = 1.seconds
 
         /** Machines that lose power together are up again within 1 or 2 s of each other. */
@@ -137,9 +140,12 @@
         private val MIN_INTERVAL = 250.milliseconds
         private val INTERVAL_PER_PEER = 40.milliseconds
 
+        /** A poll that fails after [TIMEOUT] and the next one fit into [LIVENESS_TIMEOUT]. */
+        private val MAX_INTERVAL = 920.milliseconds
+
         /** Rises with the number of peers, which bounds the total cost of the reports. */
-        private fun pollInterval(peers: Int): Duration =
-            (INTERVAL_PER_PEER * peers).coerceAtLeast(MIN_INTERVAL)
+        internal fun pollInterval(peers: Int): Duration =
+            (INTERVAL_PER_PEER * peers).coerceIn(MIN_INTERVAL, MAX_INTERVAL)
     }
 }
 
