--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -82,7 +82,7 @@
         own = settings.peerAddress,
         scope = scope,
         clock = clock,
-        livenessTimeout = PEER_TIMEOUT,
+        livenessTimeout = Peers.LIVENESS_TIMEOUT,
         log = log,
         onReport = ::onPeerReport
     )
@@ -113,7 +113,8 @@
                 onLearned = { exchanges.emit(GatewayEvent.UpstreamRatesLearned(it)) },
                 log = log
             )
-        )
+        ),
+        clock
     )
 
     /** Locations of all registered entries, running or not. */
@@ -375,7 +376,7 @@
     private suspend fun onPeerReport(view: PeerView, client: HttpClient) {
         val report = view.report ?: return
         report.crashes.forEach(crashes::learn)
-        peerTables.follow(view, client)
+        peerTables.follow(view) { table -> fetchTable(client, table, TABLE_TIMEOUT) }
         for ((table, follower) in followers) {
             val offered = report.revisionOf(table) ?: continue
             val isAnswered = clock.now() - follower.answeredAt < STORE_STALENESS_BOUND
@@ -442,9 +443,6 @@
         val ENTRY_WAIT = 4_000.milliseconds
         val ENTRY_POLL_INTERVAL = 500.milliseconds
 
-        /** Covers several reports of an entry; see [Peers]. */
-        val PEER_TIMEOUT = 2.seconds
-
         /** Age of the last store contact above which newer tables are fetched from peers. */
         val STORE_STALENESS_BOUND = 2_000.milliseconds
 
