Limit the requests of an upstream that is too slow for its streams

Cause: the cost of a slow upstream is scaled by its slowdown, so that it still gets requests once the others are more than half full, and its slots count as capacity. Every iteration of its group then takes as long as its own part times the slowdown, which a map cannot move.

Change: an upstream may run as many requests as keep iterations within the longest acceptable pause, from the engine's published times and the pauses from before the slowdown. Nothing is limited without a reported slowdown.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -39,8 +39,8 @@
 
 /** Slots of [upstream], of which a limit on its requests may leave some without use. */
 private fun GatewayState.usableSlots(upstream: GatewayUpstream, context: GatewayContext): Int {
-    val left = requestsLeft(upstream, context) ?: return upstream.record.slots
-    return (upstream.totalOutstanding + left).coerceAtMost(upstream.record.slots)
+    val left = requestsLeft(upstream, context) ?: return upstream.countedSlots
+    return (upstream.totalOutstanding + left).coerceAtMost(upstream.countedSlots)
 }
 
 /** Whether entries that started together with this one may not have reported to it yet. */
@@ -147,6 +147,7 @@
                 it.hasRateLeft(rate?.let { all -> rateShareOf(all, it) }, context.now) &&
                 requestsLeft(it, context) != 0
         }
+        .withoutSlow()
         .minByOrNull {
             settings.policies.upstreamCost(this, it, call, context.now) +
                 context.random.nextDouble() * TIE_BREAK
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -116,6 +116,7 @@
         .then { it.clearDeliveredParts(context) }
         .then { it.expirePartQuarantine(context.now) }
         .then { it.expireEarlyRequests(context) }
+        .then { it.updateSlowLimits(context) }
         .then { it.resizeQueues(context) }
 }
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
@@ -147,5 +147,7 @@
             }
         }
     )
-    return counted.markLeaving(event.leaving, "peer").then { it.resizeQueues(context) }
+    return counted.markLeaving(event.leaving, "peer")
+        .then { it.updateSlowLimits(context) }
+        .then { it.resizeQueues(context) }
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
@@ -28,6 +28,7 @@
  *   still open.
  * @property slowdown time of its work over the usual time, as the keeper of its group reports; 1.0
  *   is usual, higher is slower.
+ * @property slow limit on its requests because of its [slowdown], null for none.
  * @property notice what it announced in its answers; applies whatever its record says.
  * @property misdirectedAddress an address of its record at which another process answered.
  * @property ownership position of this entry relative to the owner, null before it is known.
@@ -46,6 +47,7 @@
     val lastAnswerHeadAt: Instant = Instant.DISTANT_PAST,
     val connectionKeptUntil: Instant = Instant.DISTANT_PAST,
     val slowdown: Double = 1.0,
+    val slow: SlowUpstream? = null,
     val notice: ObservedNotice = ObservedNotice(),
     val misdirectedAddress: Address? = null,
     val ownership: UpstreamOwnership? = null,
