Keep urgent requests from being refused more often in one entry

Cause: a request of priority 2 may wait 702 ms, one of priority 0 only 352 ms. While no slot becomes free (capacity fell, or the running requests are young), urgent requests reach their latest start and less urgent ones outlast them, and every slot that becomes free between two urgent arrivals goes to a less urgent request. One in eight admissions went to the oldest request, which is usually a less urgent one.

Change, where the requests of a service differ in priority: waiting less urgent requests are refused at once (YIELDED) when a more urgent arrival makes them too late, or when a more urgent request is refused although a smaller share of its kind was served; the arrivals of more urgent requests that are expected until a slot becomes free are kept free, and two slots more while their served share is the smaller one; at most one in four admissions goes out of order, to a priority of which less than 0.3 of the usual share was admitted.

--- a/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionDecision.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionDecision.kt
@@ -35,5 +35,8 @@
     WOULD_EXPIRE,
 
     /** Its deadline has passed. */
-    EXPIRED
+    EXPIRED,
+
+    /** It waited, and is too late because a more urgent request arrived. */
+    YIELDED
 }
--- a/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionQueue.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionQueue.kt
@@ -25,6 +25,10 @@
  * starves. A request is never admitted after its [AdmissionRequest.startBy], and is refused at once
  * when it is not expected to start by then.
  *
+ * Once [withUrgency] was called with true, capacity that more urgent requests will need shortly
+ * stays free, and a waiting request is refused as soon as more urgent arrivals delay it too long;
+ * see [Urgency].
+ *
  * Any call may also return decisions on requests other than the one passed in. When [capacity]
  * falls below the number of running requests, these continue and no others start.
  */
@@ -39,7 +43,9 @@
     internal val shares: FairShares = FairShares(),
     internal val retryJitter: RetryJitter = RetryJitter(),
     internal val serviceTime: Duration? = null,
-    internal val admissionsSinceOldest: Int = 0
+    internal val admissionsSinceOldest: Int = 0,
+    /** Null if all requests have the same priority; the queue then reserves no capacity. */
+    internal val urgency: Urgency? = null
 ) {
     /** Creates an empty queue. */
     public constructor(capacity: Int, maxQueued: Int) : this(
@@ -71,18 +77,31 @@
             else -> null
         }
         if (refusal != null) return swept.refuse(request, refusal, now, random)
-        val placed = Step(queue.copy(waiting = queue.waiting.add(request)), swept.effects)
+        val arrived = queue.copy(
+            waiting = queue.waiting.add(request),
+            urgency = queue.urgency?.afterArrival(request.priority, now)
+        )
+        val placed = Step(arrived, swept.effects)
             .dispatch(now)
             .trim(now, random)
+            .yieldTo(request, now, random)
         if (!placed.state.isWaiting(request.id)) return placed
         if (now + placed.state.expectedWait(request) > request.startBy) {
             val kept = placed.state.waiting.removeAll { it.id == request.id }
             return Step(placed.state.copy(waiting = kept), placed.effects)
                 .refuse(request, RefusalReason.WOULD_EXPIRE, now, random)
+                .yieldAhead(request, now, random)
         }
         return Step(placed.state, placed.effects.add(AdmissionDecision.Queue(request.id)))
     }
 
+    /** Changes whether the requests differ in priority. */
+    public fun withUrgency(isInEffect: Boolean): AdmissionQueue = when {
+        !isInEffect && urgency != null -> copy(urgency = null)
+        isInEffect && urgency == null -> copy(urgency = Urgency())
+        else -> this
+    }
+
     /** Removes the running or waiting request [id]; unknown ids change nothing. */
     public fun release(id: RequestId, now: Instant, random: Random): AdmissionStep =
         AdmissionStep(withdraw(id, now)).expire(now, random).dispatch(now)
@@ -94,6 +113,7 @@
         val kept = copy(waiting = waiting.removeAll { it.startBy <= now })
         return expired.fold(AdmissionStep(kept)) { step, request ->
             step.refuse(request, RefusalReason.EXPIRED, now, random)
+                .yieldAhead(request, now, random)
         }
     }
 
@@ -127,13 +147,13 @@
     }
 
     /** Expected time until the waiting [request] starts. */
-    private fun expectedWait(request: AdmissionRequest): Duration {
+    internal fun expectedWait(request: AdmissionRequest): Duration {
         val usual = serviceTime ?: return Duration.ZERO
         val ahead = waiting.count { it.id != request.id && precedence.compare(it, request) <= 0 }
         return usual * (ahead + 1) / capacity.coerceAtLeast(1)
     }
 
-    private val precedence: Comparator<AdmissionRequest>
+    internal val precedence: Comparator<AdmissionRequest>
         get() = compareBy({ it.priority }, { shares.startTag(it.customer) })
 
     internal fun admitted(request: AdmissionRequest, now: Instant): AdmissionQueue = copy(
@@ -144,16 +164,22 @@
             (runningByCustomer[request.customer] ?: 0) + 1
         ),
         shares = shares.afterAdmission(request.customer, request.weight),
-        admissionsSinceOldest = if (request == allowed.first()) 0 else admissionsSinceOldest + 1
+        admissionsSinceOldest = if (request == allowed.first()) 0 else admissionsSinceOldest + 1,
+        urgency = urgency?.afterAdmission(
+            priority = request.priority,
+            isInOrder = allowed.none { it.priority < request.priority },
+            now = now
+        )
     )
 
     /** Waiting requests whose customers are below their limits, in order of arrival. */
-    private val allowed: List<AdmissionRequest>
+    internal val allowed: List<AdmissionRequest>
         get() = waiting.filter { (runningByCustomer[it.customer] ?: 0) < it.maxRunning }
 
     /** The waiting request to admit next, null without free capacity or when none may run. */
     internal fun next(): AdmissionRequest? {
         if (running.size >= capacity) return null
+        if (urgency != null) return nextByUrgency(urgency)
         if (admissionsSinceOldest >= ADMISSIONS_PER_OLDEST - 1) return allowed.firstOrNull()
         return allowed.minWithOrNull(precedence)
     }
@@ -170,6 +196,30 @@
     return Step(state.admitted(request, now), effects.add(decision)).dispatch(now)
 }
 
+/** Refuses waiting requests that are less urgent than [arrived] and now expected to be too late. */
+private fun AdmissionStep.yieldTo(
+    arrived: AdmissionRequest,
+    now: Instant,
+    random: Random
+): AdmissionStep {
+    val late = state.tooLateBehind(arrived, now) ?: return this
+    val kept = state.copy(waiting = state.waiting.removeAll { it.id == late.id })
+    return Step(kept, effects)
+        .refuse(late, RefusalReason.YIELDED, now, random)
+        .yieldTo(arrived, now, random)
+}
+
+/** Refuses a less urgent waiting request in place of which [refused] could have been served. */
+private fun AdmissionStep.yieldAhead(
+    refused: AdmissionRequest,
+    now: Instant,
+    random: Random
+): AdmissionStep {
+    val ahead = state.aheadOf(refused) ?: return this
+    val kept = state.copy(waiting = state.waiting.removeAll { it.id == ahead.id })
+    return Step(kept, effects).refuse(ahead, RefusalReason.YIELDED, now, random)
+}
+
 /** Refuses the least entitled requests while more than [AdmissionQueue.maxQueued] wait. */
 private fun AdmissionStep.trim(now: Instant, random: Random): AdmissionStep {
     if (state.waiting.size <= state.maxQueued) return this
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -9,7 +9,6 @@
 import org.shallotplank.core.ServiceName
 import org.shallotplank.core.Step
 import org.shallotplank.core.admission.AdmissionRequest
-import org.shallotplank.core.config.Priority
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.core.then
@@ -78,7 +77,7 @@
         id = call.request.id,
         customer = call.customer ?: ANONYMOUS,
         startBy = startBy,
-        priority = Priority.entries[call.priority.coerceIn(Priority.entries.indices)]
+        priority = priorityOf(call.priority)
     )
     val queue = queueOf(call.service, context)
     return applyAdmission(call.service, queue.offer(request, context.now, context.random), context)
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -17,8 +17,9 @@
 /** The admission queue of [service], with the current capacity of its upstreams. */
 internal fun GatewayState.queueOf(service: ServiceName, context: GatewayContext): AdmissionQueue {
     val capacity = capacityOf(service, context)
-    return queues[service]?.copy(capacity = capacity, maxQueued = MAX_QUEUED)
+    val queue = queues[service]?.copy(capacity = capacity, maxQueued = MAX_QUEUED)
         ?: AdmissionQueue(capacity, MAX_QUEUED)
+    return queue.withUrgency(service in routesInForce.servicesOfSeveralPriorities)
 }
 
 /**
@@ -76,8 +77,13 @@
                 "capacity" to queues[call.service]?.capacity
             )
         )
-        is AdmissionDecision.Refuse ->
-            refuse(call, GatewayRefusal.OVERLOADED, decision.retryAfter, isAdmitted = false)
+        is AdmissionDecision.Refuse -> refuse(
+            call,
+            GatewayRefusal.OVERLOADED,
+            decision.retryAfter,
+            isAdmitted = false,
+            cause = decision.reason
+        )
     }
 }
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -4,6 +4,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.persistentListOf
 import org.shallotplank.core.Step
+import org.shallotplank.core.admission.RefusalReason
+import org.shallotplank.core.admission.reservedFrom
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.core.then
@@ -39,8 +41,10 @@
     call: GatewayCall,
     reason: GatewayRefusal,
     retryAfter: Duration?,
-    isAdmitted: Boolean = false
+    isAdmitted: Boolean = false,
+    cause: RefusalReason? = null
 ): GatewayStep {
+    val queue = queues[call.service]
     val status = when {
         !call.mayHaveRun -> STATUS_UNAVAILABLE
         reason == GatewayRefusal.TIMED_OUT -> STATUS_GATEWAY_TIMEOUT
@@ -55,13 +59,16 @@
         "route" to call.route.name,
         "status" to status,
         "reason" to reason,
+        "cause" to cause,
+        "priority" to call.priority,
         "may_have_run" to call.mayHaveRun,
         "attempts" to call.attemptsSent,
         "admitted" to isAdmitted,
         "retry_after_ms" to retryAfter?.inWholeMilliseconds,
-        "capacity" to queues[call.service]?.capacity,
-        "running" to queues[call.service]?.runningCount,
-        "waiting" to queues[call.service]?.waitingCount,
+        "capacity" to queue?.capacity,
+        "reserved" to queue?.reservedFrom(priorityOf(call.priority)),
+        "running" to queue?.runningCount,
+        "waiting" to queue?.waitingCount,
         "configuration" to routesInForce.version
     )
     val refuse = GatewayEffect.Refuse(call.request.id, status, reason, retryAfter)
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
@@ -10,6 +10,7 @@
 import org.shallotplank.core.ConfigurationVersion
 import org.shallotplank.core.CustomerName
 import org.shallotplank.core.ServiceName
+import org.shallotplank.core.config.Priority
 
 /** Published configuration of routing by host and path, with its services and credentials. */
 public data class RouteTable(
@@ -36,11 +37,26 @@
         }
     }
 
+    /** Services whose requests differ in priority, because of their routes or customers. */
+    internal val servicesOfSeveralPriorities: Set<ServiceName> = buildMap {
+        val ofCustomers = customersByCredential.values.mapNotNull { it.priority }
+        for (route in routes) {
+            for (target in route.targets) {
+                getOrPut(target.service) { HashSet<Priority>() } +=
+                    (ofCustomers + route.priority).map(::priorityOf)
+            }
+        }
+    }.filterValues { it.size > 1 }.keys
+
     /** Returns the route of [host] with the longest matching prefix of [path], or null. */
     public fun match(host: String, path: String): Route? =
         routesByHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
 }
 
+/** The admission priority of requests of the configured priority [level]. */
+internal fun priorityOf(level: Int): Priority =
+    Priority.entries[level.coerceIn(Priority.entries.indices)]
+
 /** Whether and how a request may be retried after it may have run. */
 public enum class RequestKind {
     /** May run any number of times. */
