Order requests of customers with one priority by their routes

A customer's priority now goes before the route's instead: requests of customers with the same priority are ordered by their routes.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -23,6 +23,7 @@
         return refuseUnknown(request, STATUS_UNAUTHORIZED, GatewayRefusal.UNAUTHORIZED)
     }
     val service = drawService(route, context)
+    val priority = table.priorityOf(route, holder, service)
     val callerTimeLeft = request.timeLeft
     val isCallersDeadline = callerTimeLeft != null && callerTimeLeft < route.timeout
     val call = GatewayCall(
@@ -30,7 +31,8 @@
         route = route,
         service = service,
         customer = holder?.customer,
-        priority = holder?.priority ?: route.priority,
+        priority = priority.level,
+        admissionPriority = priority.admission,
         deadline = request.arrivedAt + (if (isCallersDeadline) callerTimeLeft else route.timeout),
         isCallersDeadline = isCallersDeadline
     )
@@ -77,7 +79,7 @@
         id = call.request.id,
         customer = call.customer ?: ANONYMOUS,
         startBy = startBy,
-        priority = priorityOf(call.priority)
+        priority = call.admissionPriority
     )
     val queue = queueOf(call.service, context)
     return applyAdmission(call.service, queue.offer(request, context.now, context.random), context)
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
@@ -8,6 +8,7 @@
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.RequestId
 import org.shallotplank.core.ServiceName
+import org.shallotplank.core.config.Priority
 import org.shallotplank.core.quarantine.PromptPart
 
 /**
@@ -36,7 +37,10 @@
     val route: Route,
     val service: ServiceName,
     val customer: CustomerName?,
+    /** Position among the priorities of the service's requests; 0 is the most urgent. */
     val priority: Int,
+    /** Class in which it is admitted. */
+    val admissionPriority: Priority,
     /** The caller's deadline or the end of the route's timeout, whichever is earlier. */
     val deadline: Instant,
     /** Whether [deadline] is the caller's own. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -66,7 +66,7 @@
         "admitted" to isAdmitted,
         "retry_after_ms" to retryAfter?.inWholeMilliseconds,
         "capacity" to queue?.capacity,
-        "reserved" to queue?.reservedFrom(priorityOf(call.priority)),
+        "reserved" to queue?.reservedFrom(call.admissionPriority),
         "running" to queue?.runningCount,
         "waiting" to queue?.waitingCount,
         "configuration" to routesInForce.version
--- /dev/null
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/RequestPriorities.kt
@@ -0,0 +1,51 @@
+package org.shallotplank.core.gateway
+
+import org.shallotplank.core.ServiceName
+import org.shallotplank.core.config.Priority
+
+/**
+ * Priority of a request among those of its service.
+ *
+ * @property level position among the priorities that the service's requests can have; 0 is the
+ *   most urgent.
+ * @property admission class in which the request is admitted.
+ */
+internal data class RequestPriority(val level: Int, val admission: Priority)
+
+/**
+ * The priorities that the requests of each service can have.
+ *
+ * The priority of the customer decides first. Requests of customers with the same priority, which
+ * may be all of them, are ordered by the priority of their route.
+ *
+ * @param senders returns the holders whose requests a route accepts, with null for requests without
+ *   a customer.
+ */
+internal class RequestPriorities(
+    routes: List<Route>,
+    senders: (Route) -> Collection<CredentialHolder?>
+) {
+    private val ordered: Map<ServiceName, List<PriorityPair>> = buildMap {
+        for (route in routes) {
+            val pairs = senders(route).map { pairOf(route, it) }
+            route.targets.forEach { getOrPut(it.service) { HashSet<PriorityPair>() } += pairs }
+        }
+    }.mapValues { (_, pairs) -> pairs.sortedWith(compareBy({ it.customer }, { it.route })) }
+
+    /** Services whose requests are admitted in more than one class. */
+    val servicesOfSeveralClasses: Set<ServiceName> = ordered.filterValues { it.size > 1 }.keys
+
+    /** The priority of requests on [route] at [service]; [holder] is null without a customer. */
+    fun of(route: Route, holder: CredentialHolder?, service: ServiceName): RequestPriority {
+        val pairs = ordered[service].orEmpty()
+        val level = pairs.indexOf(pairOf(route, holder)).coerceAtLeast(0)
+        val classes = Priority.entries
+        val index = if (pairs.size <= classes.size) level else level * classes.size / pairs.size
+        return RequestPriority(level, classes[index])
+    }
+
+    private fun pairOf(route: Route, holder: CredentialHolder?) =
+        PriorityPair(customer = holder?.priority ?: route.priority, route = route.priority)
+
+    private data class PriorityPair(val customer: Int, val route: Int)
+}
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
@@ -10,7 +10,6 @@
 import org.shallotplank.core.ConfigurationVersion
 import org.shallotplank.core.CustomerName
 import org.shallotplank.core.ServiceName
-import org.shallotplank.core.config.Priority
 
 /** Published configuration of routing by host and path, with its services and credentials. */
 public data class RouteTable(
@@ -37,25 +36,26 @@
         }
     }
 
+    private val priorities = RequestPriorities(routes) { route ->
+        val holders = customersByCredential.values.distinctBy { it.priority }
+        if (requiresCredentials && !route.isOpen) holders else holders + null
+    }
+
     /** Services whose requests differ in priority, because of their routes or customers. */
-    internal val servicesOfSeveralPriorities: Set<ServiceName> = buildMap {
-        val ofCustomers = customersByCredential.values.mapNotNull { it.priority }
-        for (route in routes) {
-            for (target in route.targets) {
-                getOrPut(target.service) { HashSet<Priority>() } +=
-                    (ofCustomers + route.priority).map(::priorityOf)
-            }
-        }
-    }.filterValues { it.size > 1 }.keys
+    internal val servicesOfSeveralPriorities: Set<ServiceName>
+        get() = priorities.servicesOfSeveralClasses
 
     /** Returns the route of [host] with the longest matching prefix of [path], or null. */
     public fun match(host: String, path: String): Route? =
         routesByHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
-}
 
-/** The admission priority of requests of the configured priority [level]. */
-internal fun priorityOf(level: Int): Priority =
-    Priority.entries[level.coerceIn(Priority.entries.indices)]
+    /** The priority of requests on [route] by the customer of [holder] at [service]. */
+    internal fun priorityOf(
+        route: Route,
+        holder: CredentialHolder?,
+        service: ServiceName
+    ): RequestPriority = priorities.of(route, holder, service)
+}
 
 /** Whether and how a request may be retried after it may have run. */
 public enum class RequestKind {
@@ -138,7 +138,7 @@
     val expertCopyTime: Duration
 )
 
-/** The customer that holds a credential; [priority] overrides the route's unless it is null. */
+/** The customer that holds a credential; unless null, [priority] goes before the route's. */
 public data class CredentialHolder(val customer: CustomerName, val priority: Int? = null)
 
 /** Limits on the size of what callers send and on how slowly they may send it. */
