Move streams away from an upstream that turned slow

Cause: an upstream that turns slow while it runs requests keeps them, and every stream of its group waits for them in each iteration until they end, for seconds.

Nothing is moved because little of a stream is left, as entries do not know it; the latest streams go first instead.

Tests: MovedStreamsTest.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
@@ -50,7 +50,9 @@
     /** Whether an upstream may have run the request. */
     val mayHaveRun: Boolean = false,
     /** Whether the answer to the caller has begun. */
-    val isAnswerBegun: Boolean = false
+    val isAnswerBegun: Boolean = false,
+    /** Whether it was moved away from a slow upstream, which happens at most once. */
+    val isMoved: Boolean = false
 )
 
 /** Phase of a [GatewayCall]. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -137,21 +137,26 @@
 private fun GatewayState.chooseUpstream(
     call: GatewayCall,
     context: GatewayContext
-): GatewayUpstream? {
+): GatewayUpstream? = eligibleUpstreams(call, context)
+    .withoutSlow()
+    .minByOrNull {
+        settings.policies.upstreamCost(this, it, call, context.now) +
+            context.random.nextDouble() * TIE_BREAK
+    }
+
+/** Upstreams to which [call] may be sent now. */
+internal fun GatewayState.eligibleUpstreams(
+    call: GatewayCall,
+    context: GatewayContext
+): List<GatewayUpstream> {
     val rate = service(call.service)?.coldRatePerSecond
-    return upstreamsOf(call.service)
-        .filter {
-            isInService(it) &&
-                it.mayReceiveAttempt(context.now) &&
-                it.record.id !in call.excluded &&
-                it.hasRateLeft(rate?.let { all -> rateShareOf(all, it) }, context.now) &&
-                requestsLeft(it, context) != 0
-        }
-        .withoutSlow()
-        .minByOrNull {
-            settings.policies.upstreamCost(this, it, call, context.now) +
-                context.random.nextDouble() * TIE_BREAK
-        }
+    return upstreamsOf(call.service).filter {
+        isInService(it) &&
+            it.mayReceiveAttempt(context.now) &&
+            it.record.id !in call.excluded &&
+            it.hasRateLeft(rate?.let { all -> rateShareOf(all, it) }, context.now) &&
+            requestsLeft(it, context) != 0
+    }
 }
 
 /** Cost by utilization, zone, ownership and the need for a new connection. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -117,6 +117,7 @@
         .then { it.expirePartQuarantine(context.now) }
         .then { it.expireEarlyRequests(context) }
         .then { it.updateSlowLimits(context) }
+        .then { it.moveSlowStreams(context) }
         .then { it.resizeQueues(context) }
 }
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -199,7 +199,8 @@
         .then { it.attemptLost(open, AttemptFailure.SILENT, context) }
 }
 
-private fun GatewayState.isRetryAllowed(call: GatewayCall, context: GatewayContext): Boolean =
+/** Whether the attempts, the time left and the retry budget allow [call] to be sent again. */
+internal fun GatewayState.isRetryAllowed(call: GatewayCall, context: GatewayContext): Boolean =
     call.attemptsSent < call.route.maxAttempts &&
         // Only a stream can continue at another upstream.
         (!call.isAnswerBegun || call.route.kind == RequestKind.STREAM) &&
@@ -222,7 +223,8 @@
     return retry(call, context, reason)
 }
 
-private fun GatewayState.retry(
+/** Sends [call] again, which counts towards the retry budget. */
+internal fun GatewayState.retry(
     call: GatewayCall,
     context: GatewayContext,
     reason: GatewayRefusal = GatewayRefusal.UPSTREAM_LOST
--- a/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
@@ -78,6 +78,7 @@
     GATEWAY_ANSWER_SKIPPED(5030, Severity.WARN, "answer to another request skipped"),
     GATEWAY_UPSTREAM_SLOW(5041, Severity.WARN, "slow upstream gets fewer requests or none"),
     GATEWAY_UPSTREAM_RECOVERED(5042, Severity.INFO, "upstream gets all its requests again"),
+    GATEWAY_STREAM_MOVED(5043, Severity.INFO, "stream moved away from a slow upstream"),
     PROCESS_STARTED(9001, Severity.INFO, "process started"),
     PROCESS_DRAINING(9002, Severity.INFO, "process stops taking work"),
     PROCESS_STOPPED(9003, Severity.INFO, "process stopped"),
