Hold back less urgent requests while more urgent ones wait elsewhere

Cause: priority ordered the queue of one entry only. Entries with few arrivals admitted requests of priority 2 while others refused requests of priority 0.

Change: a peer table 'waiting' (rows by service, with the number of waiting requests by priority and the age; not offered where all requests of a service have one priority). An entry leaves as much capacity free as more urgent requests wait elsewhere, but no more than the part of its own running requests that exceeds its guaranteed half of an equal share. A report counts less from 1 s on and not at all from 2 s on. Entries that report nothing count as having no waiting requests. SP5002 names the priority and the reserved capacity.

--- a/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionQueue.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionQueue.kt
@@ -11,6 +11,7 @@
 import org.shallotplank.core.CustomerName
 import org.shallotplank.core.RequestId
 import org.shallotplank.core.Step
+import org.shallotplank.core.config.Priority
 
 /** The queue after an event, and its decisions in the order in which they were taken. */
 public typealias AdmissionStep = Step<AdmissionQueue, AdmissionDecision>
@@ -95,12 +96,17 @@
         return Step(placed.state, placed.effects.add(AdmissionDecision.Queue(request.id)))
     }
 
-    /** Changes whether the requests differ in priority. */
-    public fun withUrgency(isInEffect: Boolean): AdmissionQueue = when {
-        !isInEffect && urgency != null -> copy(urgency = null)
-        isInEffect && urgency == null -> copy(urgency = Urgency())
-        else -> this
-    }
+    /** Number of waiting requests, by priority. */
+    public val waitingByPriority: Map<Priority, Int>
+        get() = waiting.groupingBy { it.priority }.eachCount()
+
+    /**
+     * Sets what waits at other entries; null if all requests have the same priority, so that no
+     * capacity is reserved.
+     */
+    public fun withUrgency(elsewhere: ElsewhereWaiting?): AdmissionQueue = copy(
+        urgency = elsewhere?.let { (urgency ?: Urgency()).copy(elsewhere = it) }
+    )
 
     /** Removes the running or waiting request [id]; unknown ids change nothing. */
     public fun release(id: RequestId, now: Instant, random: Random): AdmissionStep =
--- a/core/src/main/kotlin/org/shallotplank/core/admission/Urgency.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/Urgency.kt
@@ -8,6 +8,21 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.shallotplank.core.config.Priority
 
+/**
+ * Requests that wait for the same service in the queues of other entries.
+ *
+ * @property byPriority number of requests, those of old reports counted in part.
+ * @property guaranteed number of requests that this entry may run whatever waits at others.
+ */
+public data class ElsewhereWaiting(
+    val byPriority: PersistentMap<Priority, Double> = persistentMapOf(),
+    val guaranteed: Int = Int.MAX_VALUE
+) {
+    /** Number of requests that are more urgent than [priority]. */
+    internal fun moreUrgentThan(priority: Priority): Double =
+        byPriority.entries.sumOf { (other, count) -> if (other < priority) count else 0.0 }
+}
+
 /**
  * What a queue observes of its requests by priority, to hold capacity for the more urgent ones.
  *
@@ -17,12 +32,14 @@
  * @property admissions requests that were admitted, by priority.
  * @property at time as of which the counts are decayed.
  * @property admissionsInOrder admissions since the last one out of the order of urgency.
+ * @property elsewhere requests that wait at other entries.
  */
 internal data class Urgency(
     val arrivals: PersistentMap<Priority, Double> = persistentMapOf(),
     val admissions: PersistentMap<Priority, Double> = persistentMapOf(),
     val at: Instant = Instant.DISTANT_PAST,
-    val admissionsInOrder: Int = 0
+    val admissionsInOrder: Int = 0,
+    val elsewhere: ElsewhereWaiting = ElsewhereWaiting()
 ) {
     fun afterArrival(priority: Priority, now: Instant): Urgency = decayed(now).let {
         it.copy(arrivals = it.arrivals.increased(priority))
--- a/core/src/main/kotlin/org/shallotplank/core/admission/UrgentAdmission.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/UrgentAdmission.kt
@@ -25,13 +25,26 @@
  * Capacity that requests of [priority] leave free for more urgent ones.
  *
  * It is the number of more urgent arrivals expected within the time until a slot becomes free, and
- * [MORE_RESERVED] more while a smaller share of the more urgent requests is admitted.
+ * [MORE_RESERVED] more while a smaller share of the more urgent requests is admitted. More urgent
+ * requests that wait at other entries add to it.
  */
 internal fun AdmissionQueue.reservedFrom(priority: Priority): Int {
     val observed = urgency ?: return 0
     val expected = observed.expectedBefore(priority, timeUntilFree).roundToInt()
     val more = if (observed.isAheadOfMoreUrgent(priority)) MORE_RESERVED else 0
-    return (expected + more).coerceAtMost((capacity * MAX_RESERVED_SHARE).toInt())
+    return (expected + more).coerceAtMost((capacity * MAX_RESERVED_SHARE).toInt()) +
+        reservedForOthers(priority)
+}
+
+/**
+ * Capacity left free for more urgent requests that wait at other entries.
+ *
+ * It is the part of their number by which this entry exceeds what it may run in any case.
+ */
+private fun AdmissionQueue.reservedForOthers(priority: Priority): Int {
+    val elsewhere = urgency?.elsewhere ?: return 0
+    val above = (running.size - elsewhere.guaranteed).coerceAtLeast(0)
+    return elsewhere.moreUrgentThan(priority).roundToInt().coerceAtMost(above)
 }
 
 /** Expected time until one of the running requests ends. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -10,6 +10,7 @@
 import org.shallotplank.core.admission.AdmissionDecision
 import org.shallotplank.core.admission.AdmissionQueue
 import org.shallotplank.core.admission.AdmissionStep
+import org.shallotplank.core.admission.reservedFrom
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.core.then
@@ -19,7 +20,7 @@
     val capacity = capacityOf(service, context)
     val queue = queues[service]?.copy(capacity = capacity, maxQueued = MAX_QUEUED)
         ?: AdmissionQueue(capacity, MAX_QUEUED)
-    return queue.withUrgency(service in routesInForce.servicesOfSeveralPriorities)
+    return queue.withUrgency(elsewhereOf(service, guaranteedOf(service, context), context.now))
 }
 
 /**
@@ -30,14 +31,30 @@
  * entry discovers its peers, only that share is available.
  */
 private fun GatewayState.capacityOf(service: ServiceName, context: GatewayContext): Int {
-    val usable = upstreamsOf(service).filter { isInService(it) && it.isUsable(context.now) }
-    val slots = usable.sumOf { usableSlots(it, context) }
+    val usable = usableUpstreamsOf(service, context)
     val others = usable.sumOf { it.othersOutstanding }
-    val maxRunning = settings.policies.maxRunning(this, service, slots)
-    val share = ceil(maxRunning.toDouble() / entryCount * GUARANTEED_SHARE).toInt()
+    val maxRunning = maxRunningOf(service, context)
+    val share = guaranteedOf(service, context)
     return if (isDiscoveringPeers(context)) share else maxOf(maxRunning - others, share)
 }
 
+/** Number of requests of [service] that this entry may have in flight whatever others report. */
+private fun GatewayState.guaranteedOf(service: ServiceName, context: GatewayContext): Int =
+    ceil(maxRunningOf(service, context).toDouble() / entryCount * GUARANTEED_SHARE).toInt()
+
+private fun GatewayState.usableUpstreamsOf(
+    service: ServiceName,
+    context: GatewayContext
+): List<GatewayUpstream> = upstreamsOf(service).filter {
+    isInService(it) && it.isUsable(context.now)
+}
+
+/** Number of requests of [service] that all entries together may have in flight at once. */
+private fun GatewayState.maxRunningOf(service: ServiceName, context: GatewayContext): Int {
+    val slots = usableUpstreamsOf(service, context).sumOf { usableSlots(it, context) }
+    return settings.policies.maxRunning(this, service, slots)
+}
+
 /** Slots of [upstream], of which a limit on its requests may leave some without use. */
 private fun GatewayState.usableSlots(upstream: GatewayUpstream, context: GatewayContext): Int {
     val left = requestsLeft(upstream, context) ?: return upstream.record.slots
@@ -73,6 +90,8 @@
                 LogEvent.GATEWAY_QUEUED,
                 "request" to call.request.id,
                 "service" to call.service,
+                "priority" to call.priority,
+                "reserved" to queues[call.service]?.reservedFrom(priorityOf(call.priority)),
                 "waiting" to queues[call.service]?.waitingCount,
                 "capacity" to queues[call.service]?.capacity
             )
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -103,6 +103,12 @@
     public data class UpstreamRatesLearned(val rates: PersistentMap<UpstreamKey, ObservedRate>) :
         GatewayEvent
 
+    /** Another entry reported which requests wait there, by service. */
+    public data class WaitingLearned(
+        val entry: InstanceId,
+        val waiting: PersistentMap<ServiceName, WaitingRequests>
+    ) : GatewayEvent
+
     /** A configuration came into force. */
     public data class RoutesAccepted(val routes: RouteTable) : GatewayEvent
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
@@ -33,6 +33,7 @@
  * @property servingEntries the entries that serve now.
  * @property notices notices that upstreams sent with their answers. Their number is bounded. A
  *   notice is kept while its upstream is not listed, because the upstream's row may reappear.
+ * @property waitingElsewhere what other entries last reported of their waiting requests.
  */
 public data class GatewayState(
     val settings: GatewaySettings,
@@ -52,7 +53,11 @@
     val entryCount: Int = 1,
     val entries: PersistentSet<EntryLocation> = persistentSetOf(),
     val servingEntries: PersistentSet<InstanceId> = persistentSetOf(),
-    val notices: PersistentMap<UpstreamKey, ObservedNotice> = persistentMapOf()
+    val notices: PersistentMap<UpstreamKey, ObservedNotice> = persistentMapOf(),
+    val waitingElsewhere: PersistentMap<
+        InstanceId,
+        PersistentMap<ServiceName, WaitingRequests>
+        > = persistentMapOf()
 ) {
     /** Whether the process was asked to stop. */
     public val isStopping: Boolean get() = plannedStop != null
--- a/core/src/test/kotlin/org/shallotplank/core/admission/UrgencyTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/admission/UrgencyTest.kt
@@ -24,7 +24,10 @@
     inner class UnderOverload {
         private fun refusedShares(load: Double, capacityAt: (Duration) -> Int): List<Double> {
             val runs = (1..SEEDS).map { seed ->
-                val queue = AdmissionQueue(UrgencyLoad.SLOTS, MAX_QUEUED).withUrgency(true)
+                val queue = AdmissionQueue(
+                    UrgencyLoad.SLOTS,
+                    MAX_QUEUED
+                ).withUrgency(ElsewhereWaiting())
                 UrgencyLoad(queue, load, seed).run(60.seconds, capacityAt)
             }
             return urgencyMix.indices.map { kind -> runs.map { it.refusedShares[kind] }.average() }
@@ -76,7 +79,7 @@
 
         /** Two slots, which requests have held for a second. */
         private fun busyQueue(): AdmissionQueue {
-            var queue = AdmissionQueue(2, 16).withUrgency(true)
+            var queue = AdmissionQueue(2, 16).withUrgency(ElsewhereWaiting())
             for (id in listOf("a", "b")) {
                 queue = queue.offer(request(id, Priority.ORDER, 1.seconds), start, random).state
                 queue = queue.release(RequestId(id), start + 1.seconds, random).state
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -18,6 +18,7 @@
 import org.shallotplank.core.gateway.EntryLocation
 import org.shallotplank.core.gateway.GatewayEvent
 import org.shallotplank.core.gateway.observedRates
+import org.shallotplank.core.gateway.waitingRequests
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
@@ -49,6 +50,7 @@
 import org.shallotplank.gateway.peer.revisionOf
 import org.shallotplank.gateway.peer.sendDelegated
 import org.shallotplank.gateway.peer.upstreamRateTable
+import org.shallotplank.gateway.peer.waitingTable
 import org.shallotplank.gateway.store.FollowSettings
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.StoreRevision
@@ -112,6 +114,13 @@
                 rates = { exchanges.state.observedRates },
                 onLearned = { exchanges.emit(GatewayEvent.UpstreamRatesLearned(it)) },
                 log = log
+            ),
+            waitingTable(
+                own = settings.instanceId,
+                clock = clock,
+                waiting = { exchanges.state.waitingRequests },
+                onLearned = exchanges::emit,
+                log = log
             )
         )
     )
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
@@ -28,6 +28,7 @@
 import org.shallotplank.gateway.peer.PeerReport
 import org.shallotplank.gateway.peer.RowCopy
 import org.shallotplank.gateway.peer.UPSTREAM_RATES
+import org.shallotplank.gateway.peer.WAITING
 import org.shallotplank.gateway.peer.promptCrashTable
 import org.shallotplank.gateway.peer.reportedVersions
 import org.shallotplank.gateway.peer.revisionOf
@@ -75,7 +76,14 @@
         fun `are read by build 4c2d8cf`() {
             val version = crashes(quarantine).version() ?: 0
             val report =
-                report(mapOf("servers" to 5L, PROMPT_CRASHES to version, UPSTREAM_RATES to 2L))
+                report(
+                    mapOf(
+                        "servers" to 5L,
+                        PROMPT_CRASHES to version,
+                        UPSTREAM_RATES to 2L,
+                        WAITING to 3L
+                    )
+                )
             val decoded = Cbor.decodeFromByteArray<Report4c2d8cf>(Cbor.encodeToByteArray(report))
             assertEquals(5, decoded.tableVersions["servers"])
             assertEquals("10.0.0.2:2", decoded.publicAddress)
