--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -91,7 +91,7 @@
                 "request" to call.request.id,
                 "service" to call.service,
                 "priority" to call.priority,
-                "reserved" to queues[call.service]?.reservedFrom(priorityOf(call.priority)),
+                "reserved" to queues[call.service]?.reservedFrom(call.admissionPriority),
                 "waiting" to queues[call.service]?.waitingCount,
                 "capacity" to queues[call.service]?.capacity
             )
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/WaitingRequests.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/WaitingRequests.kt
@@ -13,7 +13,8 @@
 /**
  * Requests of one service that waited at an entry at [observedAt].
  *
- * @property byPriority number of requests, by configured priority.
+ * @property byPriority number of requests, by the position of their admission class; 0 is the most
+ *   urgent.
  */
 public data class WaitingRequests(val byPriority: PersistentMap<Int, Int>, val observedAt: Instant)
 
@@ -60,12 +61,15 @@
         val weight = weightAt(now - waiting.observedAt)
         if (weight == 0.0) continue
         for ((priority, count) in waiting.byPriority) {
-            counts.merge(priorityOf(priority), count * weight, Double::plus)
+            counts.merge(classAt(priority), count * weight, Double::plus)
         }
     }
     return ElsewhereWaiting(counts.toPersistentMap(), guaranteed)
 }
 
+private fun classAt(position: Int): Priority =
+    Priority.entries[position.coerceIn(Priority.entries.indices)]
+
 private fun weightAt(age: Duration): Double =
     ((IGNORED_AGE - age) / (IGNORED_AGE - FULL_WEIGHT_AGE)).coerceIn(0.0, 1.0)
 
