Release a step again that is held after its release

A group of engines stands still for good: a hold that an entry sends after a suspension, or that a rank carries out late, arrives when the keeper has released that step, and an idle group has not begun it. The keeper waited for the step in the stage Switching without a time limit and ignored that the rank reports it as held. It now goes back to the stage Releasing when a report from after the release shows that. All ranks are armed for that step, so releasing it again is safe.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -37,7 +37,8 @@
     return when (val current = stage) {
         is KeeperStage.Surveying -> updated.concludeSurvey(current, now)
         is KeeperStage.Settled -> updated.checkNothingHeld(report, now)
-        is KeeperStage.Switching -> updated.concludeSwitch(now)
+        is KeeperStage.Switching ->
+            updated.releaseAgain(current, event.rank, report, now).then { it.concludeSwitch(now) }
         is KeeperStage.Preparing ->
             if (report.preparedVersion == current.version) {
                 updated.onPrepared(current, event.rank, now)
@@ -148,6 +149,25 @@
     return latestStep + 1 + if (wasOrderLost) LOSS_LEAD_STEPS else 0
 }
 
+/**
+ * Releases the step again if it was held after its release.
+ *
+ * A hold that was sent before the release, such as one that another entry sends after a suspension,
+ * may arrive after it as long as the step has not begun, as in a group without requests. Only a
+ * report from after the release shows that.
+ */
+private fun GroupKeeper.releaseAgain(
+    switching: KeeperStage.Switching,
+    rank: Int,
+    report: RankReport,
+    now: Instant
+): GroupKeeperStep {
+    val isRecent = now - report.maxAge > switching.since
+    val isHeldAgain = rank == HOLDING_RANK && report.heldStep == switching.step && isRecent
+    if (!isHeldAgain) return Step(this)
+    return enter(KeeperStage.Releasing(switching.version, switching.map, switching.step), now)
+}
+
 /**
  * Finishes the switch once its step has begun on any rank: all ranks are armed for that step and
  * begin it together.
