Relieve a slow rank once, and read all reports when pauses are long

Cause: a rank's slowdown is seen when its turn in the rotation of reports comes, up to two seconds late. Then changes of the map copy experts between healthy ranks as well, follow each higher reported slowdown, and are planned once more by each next keeper from its first few counts. The own part of the slow rank, which no map changes, counts as imbalance.

Change: with pauses above the acceptable ones the keeper reads all reports at once, then after 0.5, 1, 2 and each 4 s. A new keeper waits for a full round of counts. The own part is in the forecast.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupDemand.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupDemand.kt
@@ -24,6 +24,9 @@
     /** Whether [popularity] is known and no jump of demand is being confirmed. */
     public val isSettled: Boolean get() = popularity.isKnown && divergentRounds == 0
 
+    /** Whether [popularity] is from as many tokens as a usual round of readings has. */
+    internal val isFirm: Boolean get() = popularity.tokensPerExpert >= MIN_TOKENS_PER_EXPERT
+
     /** Adds the [tokens] that one rank routed since its last reading, by layer and expert. */
     internal fun plus(tokens: List<IntArray>, now: Instant): GroupDemand =
         GroupDemand(popularity, jumps, round.plus(tokens, now), lastRound, divergentRounds)
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -72,7 +72,13 @@
     val plannedJumps: Int = 0,
     /** Ranks that were slow when the last plan was made. */
     val plannedSlowRanks: Set<Int> = emptySet(),
+    /** Slowdown of each slow rank for which the last change of the map was planned. */
+    val plannedSlowdowns: Map<Int, Double> = emptyMap(),
     val polledAt: Instant = Instant.DISTANT_PAST,
+    /** When the reports of all ranks were last requested because of long pauses. */
+    val allPolledAt: Instant = Instant.DISTANT_PAST,
+    /** Number of such requests since pauses were last acceptable. */
+    val allPolls: Int = 0,
     val nextPolledRank: Int = 0,
     /** When an order last got no answer. */
     val lastUnansweredOrderAt: Instant = Instant.DISTANT_PAST,
@@ -88,13 +94,15 @@
      * while after they have started.
      */
     public val slowRanks: Map<Int, Double>
-        get() {
-            val slowdowns = allRanks.map { reports[it]?.report?.slowdown ?: 1.0 }
-            if (slowdowns.all { it < MIN_SLOW_RANK_SLOWDOWN }) return emptyMap()
-            val median = slowdowns.sorted()[ranks / 2].coerceAtLeast(1.0)
-            return allRanks.associateWith { slowdowns[it] / median }
-                .filterValues { it >= MIN_SLOW_RANK_SLOWDOWN }
-        }
+        get() = ranksSlowerBy(MIN_SLOW_RANK_SLOWDOWN)
+
+    /** Ranks that are slower than the median by [slowdown] or more, with their slowdowns. */
+    internal fun ranksSlowerBy(slowdown: Double): Map<Int, Double> {
+        val slowdowns = allRanks.map { reports[it]?.report?.slowdown ?: 1.0 }
+        if (slowdowns.all { it < slowdown }) return emptyMap()
+        val median = slowdowns.sorted()[ranks / 2].coerceAtLeast(1.0)
+        return allRanks.associateWith { slowdowns[it] / median }.filterValues { it >= slowdown }
+    }
 
     /** Whether demand has jumped or a rank has turned slow since the last plan was made. */
     internal val isPlanOutdated: Boolean
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
@@ -82,9 +82,26 @@
 private fun GroupKeeper.onSettledTick(now: Instant): GroupKeeperStep =
     if (now - plannedAt >= settings.countInterval) plan(now) else Step(this)
 
-/** Reads the reports of some ranks in rotation: held step, armed map and slowdown. */
+/**
+ * Reads the reports of some ranks in rotation: held step, armed map and slowdown.
+ *
+ * Reads those of all ranks while pauses are too long, since one slow rank is enough for that. Reads
+ * them less and less often, as the pauses may be due to something else.
+ */
 private fun GroupKeeper.pollIfDue(now: Instant): GroupKeeperStep {
-    if (epoch == 0L || now - polledAt < POLL_INTERVAL) return Step(this)
+    if (epoch == 0L) return Step(this)
+    val arePausesLong = pauses?.let { it.recent > it.acceptable } == true
+    if (!arePausesLong) return copy(allPolls = 0).pollNextIfDue(now)
+    val doublings = (allPolls - 1).coerceIn(0, MAX_POLL_DOUBLINGS)
+    if (now - allPolledAt < ALL_POLL_INTERVAL * (1 shl doublings)) return pollNextIfDue(now)
+    return Step(
+        copy(polledAt = now, allPolledAt = now, allPolls = allPolls + 1),
+        allRanks.map { GroupKeeperEffect.ReadReport(it) }.toPersistentList()
+    )
+}
+
+private fun GroupKeeper.pollNextIfDue(now: Instant): GroupKeeperStep {
+    if (now - polledAt < POLL_INTERVAL) return Step(this)
     val count = maxOf(MIN_POLLED_RANKS, ranks / POLL_ROUNDS).coerceAtMost(ranks)
     val asked = List(count) { GroupKeeperEffect.ReadReport((nextPolledRank + it) % ranks) }
     return Step(
@@ -109,6 +126,12 @@
 /** Interval between reads of reports; each reads the next part of the group. */
 private val POLL_INTERVAL = 250.milliseconds
 
+/** Minimum time between reads of all reports, which are sent between zones. */
+private val ALL_POLL_INTERVAL = 500.milliseconds
+
+/** Limits the time between reads of all reports to four seconds. */
+private const val MAX_POLL_DOUBLINGS = 3
+
 /** A slow rank is detected within two seconds, in small groups sooner. */
 private const val POLL_ROUNDS = 8
 private const val MIN_POLLED_RANKS = 4
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupPlanning.kt
@@ -8,6 +8,7 @@
 import org.shallotplank.core.placement.MapPlan
 import org.shallotplank.core.placement.MapPlanner
 import org.shallotplank.core.placement.PlacementSettings
+import org.shallotplank.core.placement.RankRelief
 import org.shallotplank.core.placement.RankSpeeds
 import org.shallotplank.core.then
 
@@ -20,8 +21,8 @@
 internal fun GroupKeeper.plan(now: Instant): GroupKeeperStep {
     val current = map ?: return Step(this)
     val attempted =
-        copy(plannedAt = now, plannedJumps = demand.jumps, plannedSlowRanks = slowRanks.keys)
-    if (!demand.isSettled) return Step(attempted)
+        copy(plannedAt = now, plannedJumps = demand.jumps, plannedSlowRanks = ranksPlannedAsSlow)
+    if (!demand.isSettled || isDemandVagueForSlowRanks) return Step(attempted)
     val search = MapSearch(attempted, current)
     val observed = attempted.copy(pausePerImbalance = observedPausePerImbalance(search.imbalance))
     val plan = observed.planFrom(search) ?: return Step(observed)
@@ -34,9 +35,12 @@
         "version" to version,
         "experts_loaded" to plan.expertsLoaded,
         "slowness_before" to "%.3f".format(plan.imbalanceBefore),
-        "slowness_after" to "%.3f".format(plan.imbalanceAfter)
+        "slowness_after" to "%.3f".format(plan.imbalanceAfter),
+        "slow_ranks" to search.slowdowns.keys.joinToString(","),
+        "own_part_ms" to ownPart?.inWholeMilliseconds
     )
-    return Step(observed.copy(lastVersion = version), effects(GroupKeeperEffect.Log(record)))
+    val planned = observed.copy(lastVersion = version, plannedSlowdowns = search.slowdowns)
+    return Step(planned, effects(GroupKeeperEffect.Log(record)))
         .then { it.enter(KeeperStage.Preparing(version, next, now, now + it.copyTime(next)), now) }
 }
 
@@ -44,7 +48,8 @@
 private fun GroupKeeper.planFrom(search: MapSearch): MapPlan? {
     val calmImbalance = calmImbalance
     if (calmImbalance != null && search.imbalance <= calmImbalance) return null
-    return search.plan()?.takeIf { it.imbalanceBefore >= MIN_MEAN_IMBALANCE }
+    val plan = if (search.slowdowns.isEmpty()) search.plan() else search.planWithSlowRanks()
+    return plan?.takeIf { it.imbalanceBefore >= MIN_MEAN_IMBALANCE && shortensPauses(it) }
 }
 
 /** Copy time of the rank that must copy the most experts for [next]. */
@@ -60,12 +65,19 @@
 
 /** Imbalance up to which streams are on time with a margin, null if it is unknown. */
 private val GroupKeeper.calmImbalance: Double?
-    get() = pausePerImbalance?.let { pauses?.calmImbalance(it) }
+    get() {
+        val own = ownPart ?: return null
+        return pausePerImbalance?.let { pauses?.copy(fixed = own)?.calmImbalance(it) }
+    }
 
-/** The highest of the recent observations, so that a short lull of the load does not count. */
+/**
+ * The highest of the recent observations, so that a short lull of the load does not count.
+ *
+ * While a rank is slow, pauses contain its own part, which no map changes.
+ */
 private fun GroupKeeper.observedPausePerImbalance(imbalance: Double): Duration? {
     val before = pausePerImbalance
-    if (isPlanOutdated) return before
+    if (isPlanOutdated || slowRanks.isNotEmpty()) return before
     val observed = pauses?.perImbalance(imbalance) ?: return before
     return maxOf(observed, (before ?: Duration.ZERO) * KEPT_PAUSE_SHARE)
 }
@@ -75,9 +87,12 @@
     private val slots = keeper.placement.slotsPerRank
     private val map = current.padded(slots, keeper.placement.expertsPerLayer)
     private val popularity = keeper.demand.popularity.withUnusedExperts(slots)
-    private val speeds = keeper.slowRanks.let { slow ->
-        RankSpeeds.ofSlowdowns(keeper.allRanks.map { slow[it] ?: 1.0 })
-    }
+
+    /** Slowdown of each slow rank. */
+    val slowdowns: Map<Int, Double> = keeper.planningSlowdowns
+    private val healthyRanks = keeper.allRanks.filter { it !in slowdowns }
+    private val hasSpareSlots = keeper.placement.spareSlots > 0
+    private val speeds = RankSpeeds.ofSlowdowns(keeper.allRanks.map { slowdowns[it] ?: 1.0 })
     private val settings = PlacementSettings(
         expertBytes = 1,
         weightStoreBytesPerSecond = Long.MAX_VALUE / OVERFLOW_DIVISOR,
@@ -90,9 +105,26 @@
         minGain = keeper.settings.minGain
     )
 
-    val imbalance: Double = MapPlanner(settings).imbalance(map, popularity, speeds)
+    private val planner = MapPlanner(settings)
+
+    val imbalance: Double = planner.imbalance(map, popularity, speeds)
 
-    fun plan(): MapPlan? = MapPlanner(settings).plan(map, popularity, speeds)
+    fun plan(): MapPlan? = planner.plan(map, popularity, speeds)
+
+    /**
+     * Plans only copies of what leaves the slow ranks, unless the map does not fit the demand.
+     *
+     * A map that already holds little on the slow ranks is not changed again because of them.
+     */
+    fun planWithSlowRanks(): MapPlan? {
+        val ofHealthy = planner.imbalanceOf(healthyRanks, map, popularity, speeds)
+        if (ofHealthy >= MIN_MEAN_IMBALANCE) return plan()
+        val ofSlow = planner.imbalanceOf(slowdowns.keys, map, popularity, speeds)
+        if (ofSlow < MIN_MEAN_IMBALANCE) return null
+        // Without spare slots, a rank that takes an expert has to give one in exchange.
+        val relief = RankRelief(slowdowns.keys, mayLoad = !hasSpareSlots)
+        return planner.plan(map, popularity, speeds, relief = relief)
+    }
 }
 
 /**
--- a/core/src/main/kotlin/org/shallotplank/core/placement/LayerLoads.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/LayerLoads.kt
@@ -64,6 +64,9 @@
     /** Time of the slowest rank over the ideal time, with loads in proportion to the speeds. */
     fun imbalance(): Double = time(slowestRank()) / idealTime
 
+    /** Time of the slowest of [ranks] over the ideal time of all ranks. */
+    fun imbalanceOf(ranks: Collection<Int>): Double = (ranks.maxOfOrNull(::time) ?: 0.0) / idealTime
+
     /**
      * Penalty of [rank]: the eighth power of its time over the ideal time. The slowest rank counts
      * most, and the next slowest ranks still have an effect.
--- a/core/src/main/kotlin/org/shallotplank/core/placement/LayerSearch.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/LayerSearch.kt
@@ -9,6 +9,7 @@
     private val loads: LayerLoads,
     private val limit: Int,
     private val minGain: Double,
+    private val mayRelocate: Boolean = true,
     private val isFull: (rank: Int) -> Boolean
 ) {
     private val slowest = loads.slowestRank()
@@ -22,7 +23,7 @@
      */
     fun candidates(): List<RankedChange> {
         for (slot in loads.slots) offerChanges(slot)
-        if (best.isEmpty()) offerRelocations()
+        if (best.isEmpty() && mayRelocate) offerRelocations()
         return best.toList()
     }
 
--- a/core/src/main/kotlin/org/shallotplank/core/placement/MapPlanner.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/placement/MapPlanner.kt
@@ -33,16 +33,23 @@
  * removes the last replica of an expert and never puts two replicas of an expert on one rank.
  */
 public class MapPlanner(private val settings: PlacementSettings) {
-    /** Returns a plan for [map], or null when no change gains more than [minGain]. */
+    /**
+     * Returns a plan for [map], or null when no change gains more than [minGain].
+     *
+     * @param relief restricts the plan to changes that relieve certain ranks; null for no
+     *   restriction.
+     */
     public fun plan(
         map: ExpertMap,
         popularity: ExpertPopularity,
         speeds: RankSpeeds,
-        minGain: Double = settings.minGain
+        minGain: Double = settings.minGain,
+        relief: RankRelief? = null
     ): MapPlan? {
         val layers = loadsOf(map, popularity, speeds)
         val before = layers.meanImbalance()
-        val changes = improve(layers, LoadBudget(settings, speeds.size, layers.size), minGain)
+        val budget = LoadBudget(settings, speeds.size, layers.size, relief)
+        val changes = improve(layers, budget, minGain)
         if (changes.isEmpty()) return null
         return MapPlan(
             map = ExpertMap(layers.map { it.toPlacement() }.toPersistentList()),
@@ -57,6 +64,16 @@
     public fun imbalance(map: ExpertMap, popularity: ExpertPopularity, speeds: RankSpeeds): Double =
         loadsOf(map, popularity, speeds).meanImbalance()
 
+    /** Returns time of the slowest of [ranks] over the ideal time, mean of the layers. */
+    public fun imbalanceOf(
+        ranks: Collection<Int>,
+        map: ExpertMap,
+        popularity: ExpertPopularity,
+        speeds: RankSpeeds
+    ): Double = loadsOf(map, popularity, speeds).let { layers ->
+        layers.sumOf { it.imbalanceOf(ranks) } / layers.size
+    }
+
     private fun loadsOf(
         map: ExpertMap,
         popularity: ExpertPopularity,
@@ -79,7 +96,7 @@
         val changes = mutableListOf<ExplainedChange>()
         val imbalance = DoubleArray(layers.size) { layers[it].imbalance() }
         val open = layers.indices.filterTo(mutableSetOf()) {
-            imbalance[it] > settings.triggerImbalance
+            imbalance[it] > settings.triggerImbalance && budget.isToRelieve(layers[it])
         }
         var searchesLeft = settings.maxSearches
         while (open.isNotEmpty() && !budget.isSpent) {
@@ -88,7 +105,8 @@
                 ?: if (searchesLeft-- > 0) improve(layer, layers[layer], budget, minGain) else null
             if (change != null) changes += change
             imbalance[layer] = layers[layer].imbalance()
-            if (change == null || imbalance[layer] <= settings.goalImbalance) open -= layer
+            val isBalanced = imbalance[layer] <= settings.goalImbalance
+            if (change == null || isBalanced || !budget.isToRelieve(layers[layer])) open -= layer
         }
         return changes
     }
@@ -122,6 +140,7 @@
             loads = loads,
             limit = settings.explainedCandidates,
             minGain = minGain,
+            mayRelocate = budget.relief == null,
             isFull = { budget.isFull(layer, it) }
         ).candidates()
         val chosen = candidates.firstOrNull { budget.affords(it.change) } ?: return null
@@ -137,15 +156,34 @@
     }
 }
 
+/**
+ * Restricts a plan to changes that take load off [ranks].
+ *
+ * @property mayLoad whether these ranks may load other experts in exchange.
+ */
+public data class RankRelief(val ranks: Set<Int>, val mayLoad: Boolean = false) {
+    internal fun forbidsLoadsOn(rank: Int): Boolean = !mayLoad && rank in ranks
+}
+
 /** Expert loads left for one change of the map: in total, per rank, and per rank and layer. */
-private class LoadBudget(private val settings: PlacementSettings, ranks: Int, layers: Int) {
+private class LoadBudget(
+    private val settings: PlacementSettings,
+    ranks: Int,
+    layers: Int,
+    val relief: RankRelief?
+) {
     private var left = settings.maxLoadsPerChange
     private val loadsByRank = IntArray(ranks)
     private val loadsByLayer = Array(layers) { IntArray(ranks) }
 
     val isSpent: Boolean get() = left <= 0
 
-    fun isFull(layer: Int, rank: Int): Boolean = loadsByRank[rank] >= settings.maxLoadsPerRank ||
+    /** Whether the slowest rank of [loads] is one that the plan may relieve. */
+    fun isToRelieve(loads: LayerLoads): Boolean =
+        relief == null || loads.slowestRank() in relief.ranks
+
+    fun isFull(layer: Int, rank: Int): Boolean = relief?.forbidsLoadsOn(rank) == true ||
+        loadsByRank[rank] >= settings.maxLoadsPerRank ||
         loadsByLayer[layer][rank] >= settings.maxLoadsPerRankAndLayer
 
     fun affords(change: LayerChange): Boolean = change.expertsLoaded <= left
