Serve urgent requests first after a start or an outage

Cause: requests held while an entry starts were released in order of arrival. Callers refused during an outage got retry delays of 1 to 2.2 s however many they were, and came back faster than the slots can serve them.

Change, for services whose requests differ in priority: held requests are released by priority, then by the time left.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/EarlyRequests.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/EarlyRequests.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 import org.shallotplank.core.Step
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.logRecord
@@ -42,11 +43,38 @@
 internal fun GatewayState.releaseEarlyRequests(context: GatewayContext): GatewayStep {
     if (earlyRequests.isEmpty() || !isReady || routes == null) return Step(this)
     val released = copy(earlyRequests = earlyRequests.clear())
-    return earlyRequests.fold(GatewayStep(released)) { step, request ->
+    return earlyRequests.inOrderOfUrgency(routes).fold(GatewayStep(released)) { step, request ->
         step.then { it.onArrived(request, context) }
     }
 }
 
+/**
+ * Puts the requests of services whose requests differ in priority in the order in which they should
+ * start: by priority, then by the time that is left. The others stay in order of arrival.
+ */
+private fun List<GatewayRequest>.inOrderOfUrgency(table: RouteTable): List<GatewayRequest> {
+    val (ordered, others) = partition { request ->
+        val route = table.routeOf(request) ?: return@partition false
+        route.targets.any { it.service in table.servicesOfSeveralPriorities }
+    }
+    return ordered.sortedWith(
+        compareBy({ table.priorityOf(it) }, { request -> latestEnd(request, table) })
+    ) + others
+}
+
+private fun latestEnd(request: GatewayRequest, table: RouteTable): Instant {
+    val timeout = table.routeOf(request)?.timeout ?: Duration.ZERO
+    return request.arrivedAt + minOf(timeout, request.timeLeft ?: timeout)
+}
+
+private fun RouteTable.routeOf(request: GatewayRequest): Route? =
+    match(request.host, request.path.substringBefore('?'))
+
+private fun RouteTable.priorityOf(request: GatewayRequest): Int {
+    val holder = request.credential?.let { customersByCredential[it] }
+    return holder?.priority ?: routeOf(request)?.priority ?: Int.MAX_VALUE
+}
+
 /** Refuses the held requests that have reached their longest wait. */
 internal fun GatewayState.expireEarlyRequests(context: GatewayContext): GatewayStep {
     val expired = earlyRequests.filter { context.now - it.arrivedAt >= maxWait(it) }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -71,7 +71,8 @@
     }
     val startBy = startBy(call, context)
     reasonNotToWait(call, startBy, context)?.let { reason ->
-        return refuse(call, reason, retryAfterFor(call.service, context))
+        val counted = withOutageRefusal(call, context)
+        return counted.refuse(call, reason, counted.retryAfterFor(call, context))
     }
     val request = AdmissionRequest(
         id = call.request.id,
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -211,29 +211,31 @@
 }
 
 /**
- * Retry delay for a caller that found no upstream of [service].
+ * Retry delay for the caller of [call], for which no upstream was found.
  *
  * If the upstreams only pause, the delay lasts until the first of them resumes. Most callers retry
  * only once, so while no upstream answers at all, the delay is meant to last until processes and
  * groups that are starting can serve the retry.
  */
-internal fun GatewayState.retryAfterFor(service: ServiceName, context: GatewayContext): Duration {
-    firstPauseEndsAt(service, context)?.let { firstPauseEndsAt ->
+internal fun GatewayState.retryAfterFor(call: GatewayCall, context: GatewayContext): Duration {
+    firstPauseEndsAt(call.service, context)?.let { firstPauseEndsAt ->
         return (firstPauseEndsAt - context.now) + RETRY_AFTER_JITTER * context.random.nextDouble()
     }
+    if (!isOutage(call.service, context)) {
+        return withJitter(MIN_RETRY_AFTER, RETRY_AFTER_JITTER, context)
+    }
+    val window = outageRetryWindow(call, OUTAGE_RETRY_AFTER_JITTER, context)
+    return withJitter(MIN_OUTAGE_RETRY_AFTER, window, context)
+}
+
+/** Whether no upstream of [service] has answered for [OUTAGE_SILENCE]. */
+internal fun GatewayState.isOutage(service: ServiceName, context: GatewayContext): Boolean {
     val lastAnswerAt =
         upstreamsOf(service).maxOfOrNull { it.lastAnswerHeadAt } ?: Instant.DISTANT_PAST
-    val isOutage = context.now - lastAnswerAt >= OUTAGE_SILENCE
-    return if (isOutage) {
-        outageRetryAfter(
-            context
-        )
-    } else {
-        withJitter(MIN_RETRY_AFTER, RETRY_AFTER_JITTER, context)
-    }
+    return context.now - lastAnswerAt >= OUTAGE_SILENCE
 }
 
-/** Retry delay for a caller that is refused during an outage or while this entry starts. */
+/** Retry delay for a caller that is refused while this entry starts. */
 internal fun outageRetryAfter(context: GatewayContext): Duration =
     withJitter(MIN_OUTAGE_RETRY_AFTER, OUTAGE_RETRY_AFTER_JITTER, context)
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -27,11 +27,12 @@
         val suggested = when (reason) {
             GatewayRefusal.QUARANTINED -> QUARANTINE_RETRY_AFTER
             GatewayRefusal.STOPPING -> Duration.ZERO
-            else -> retryAfterFor(call.service, context)
+            else -> retryAfterFor(call, context)
         }
         val retryAfter = suggested.takeIf { !call.mayHaveRun }
         val isWaiting = queues[call.service]?.isWaiting(call.request.id) == true
-        refuse(call, reason, retryAfter, isAdmitted = !isWaiting)
+        withOutageRefusal(call, context)
+            .refuse(call, reason, retryAfter, isAdmitted = !isWaiting)
     }
     return ended.then { it.releaseSlot(call, context) }
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
@@ -34,6 +34,7 @@
  * @property notices notices that upstreams sent with their answers. Their number is bounded. A
  *   notice is kept while its upstream is not listed, because the upstream's row may reappear.
  * @property waitingElsewhere what other entries last reported of their waiting requests.
+ * @property outageRefusals refusals while no upstream of a service answered.
  */
 public data class GatewayState(
     val settings: GatewaySettings,
@@ -57,7 +58,8 @@
     val waitingElsewhere: PersistentMap<
         InstanceId,
         PersistentMap<ServiceName, WaitingRequests>
-        > = persistentMapOf()
+        > = persistentMapOf(),
+    val outageRefusals: PersistentMap<ServiceName, OutageRefusals> = persistentMapOf()
 ) {
     /** Whether the process was asked to stop. */
     public val isStopping: Boolean get() = plannedStop != null
