Exchange reports through hubs above max_polling_entries entries

Each entry polled all others. Above the new setting (24 by default) an entry sends its report to a hub of its zone and gets all others in the answer; hubs ask each other. An entry acts as a hub when it is among the first two serving ones of its zone, or when others ask it. Builds without the exchange answer 404 and are polled by the hubs of their zone. Reports keep their encoding; ages travel beside them and count from when a report was made at the latest, also across suspensions. Peer tables of single entries travel with the reports; accumulated ones are fetched from hubs.

Up to the setting the same calls are made at the same times as before.

EntryExchangeTest runs eight processes with the setting lowered: no polls, a stopped hub.

--- a/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
@@ -5,6 +5,7 @@
 
 private const val HOUR_SECONDS = 3_600
 private const val PORT_MAX = 65_535
+private const val MAX_POLLING_ENTRIES = 1_000
 private const val MAX_RETRY_SLACK = 1_000_000
 
 /** Keys of the settings of a gateway entry. */
@@ -91,6 +92,14 @@
             "they saw. Where they do not, only the holder of a group's lease keeps it.",
         default = true
     )
+    val maxPollingEntries = KeySpec(
+        name = "max_polling_entries",
+        rule = wholeNumber(1..MAX_POLLING_ENTRIES, unit = "entries"),
+        doc = "Registered entries up to which each entry requests the reports of all others. " +
+            "Above, entries exchange reports through hubs, the first two entries of each zone. " +
+            "Give all entries the same number.",
+        default = 24
+    )
     val table = TableSpec(
         name = "",
         shape = TableShape.ROOT,
@@ -112,7 +121,8 @@
             retryRatio,
             retryWindow,
             retrySlack,
-            areFencesChecked
+            areFencesChecked,
+            maxPollingEntries
         )
     )
 }
@@ -145,6 +155,7 @@
     val retryWindow = read(GatewayKeys.retryWindow)
     val retrySlack = read(GatewayKeys.retrySlack)
     val areFencesChecked = read(GatewayKeys.areFencesChecked)
+    val maxPollingEntries = read(GatewayKeys.maxPollingEntries)
     return nullable {
         GatewayEntrySettings(
             instanceId = instanceId.bind(),
@@ -163,7 +174,8 @@
             retryRatio = retryRatio.bind(),
             retryWindow = retryWindow.bind(),
             retrySlack = retrySlack.bind(),
-            areFencesChecked = areFencesChecked.bind()
+            areFencesChecked = areFencesChecked.bind(),
+            maxPollingEntries = maxPollingEntries.bind()
         )
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -29,6 +29,8 @@
 import org.shallotplank.gateway.group.confirmedAt
 import org.shallotplank.gateway.http.HttpClient
 import org.shallotplank.gateway.peer.DelegatedHold
+import org.shallotplank.gateway.peer.EntryExchange
+import org.shallotplank.gateway.peer.ExchangeContext
 import org.shallotplank.gateway.peer.LeavingUpstream
 import org.shallotplank.gateway.peer.PeerReport
 import org.shallotplank.gateway.peer.PeerReports
@@ -70,7 +72,8 @@
     private val scope: CoroutineScope,
     private val environment: GatewayEnvironment,
     private val exchanges: GatewayExchanges,
-    private val log: (LogRecord) -> Unit
+    private val log: (LogRecord) -> Unit,
+    private val countPeerCall: (path: String) -> Unit = {}
 ) {
     private val clock = environment.clock
 
@@ -84,7 +87,8 @@
         clock = clock,
         livenessTimeout = Peers.LIVENESS_TIMEOUT,
         log = log,
-        onReport = ::onPeerReport
+        countCall = countPeerCall,
+        onReport = ::onPolled
     )
     private val leaseGuard = LeaseGuard(
         areFencesChecked = settings.areFencesChecked,
@@ -117,6 +121,35 @@
         clock
     )
 
+    private val exchange = EntryExchange(
+        context = ExchangeContext(
+            group = group,
+            scope = scope,
+            clock = clock,
+            random = environment.random,
+            own = EntryLocation(settings.instanceId, settings.zone),
+            ownAddress = settings.peerAddress,
+            incarnation = environment.incarnation,
+            maxPollingEntries = settings.maxPollingEntries,
+            isAfterLastSuspension = leaseGuard::isAfterLastSuspension,
+            report = ::report,
+            log = log,
+            countCall = countPeerCall
+        ),
+        peers = peers,
+        tables = peerTables,
+        onReport = ::onReport,
+        follow = ::follow
+    )
+
+    /** Whether this entry passes reports on to others. */
+    val isHub: Boolean get() = exchange.isHub
+
+    /** Age of the oldest report of an entry that counts as alive, for the metrics. */
+    val oldestReportAge: Duration
+        get() = peers.alive.minOfOrNull { it.lastContactAt }?.let { clock.now() - it }
+            ?: Duration.ZERO
+
     /** Locations of all registered entries, running or not. */
     private var entryLocations: List<EntryLocation> = emptyList()
 
@@ -161,7 +194,7 @@
         exchanges.onCrash = crashes::add
         followers.values.forEach { follower -> scope.launch { follower.run() } }
         scope.launch { registration.keep(::entryReplica) { !exchanges.state.isStopping } }
-        peers.pollOnly(seeds)
+        exchange.start(seeds)
     }
 
     /** Replaces the seed addresses, which are polled in addition to registered entries. */
@@ -182,6 +215,7 @@
         forgetLostRows(now)
         crashes.expire(now)
         updateReadiness(now)
+        exchange.tick(now)
         emitPeers()
         keepers.tick(now)
     }
@@ -351,11 +385,16 @@
         entryLocations = registered.map { (instance, row) ->
             EntryLocation(instance, ZoneName(row?.zone.orEmpty()))
         }
-        val addresses = registered.values
-            .mapNotNull { row -> row?.peerAddress?.let(Address::parseOrNull) }
-        peers.pollOnly(addresses.toSet() + seeds)
+        val locations = registered.entries.mapNotNull { (instance, row) ->
+            val address = row?.peerAddress?.let(Address::parseOrNull) ?: return@mapNotNull null
+            address to EntryLocation(instance, ZoneName(row.zone))
+        }
+        exchange.update(locations.toMap(), seeds)
     }
 
+    /** Answers the exchange of reports in [body]; null if it cannot be read. */
+    fun answerExchange(body: ByteArray): ByteArray? = exchange.answer(body)
+
     private fun emitPeers() {
         val reports = reports
         val own = EntryLocation(settings.instanceId, settings.zone)
@@ -373,10 +412,19 @@
         )
     }
 
-    private suspend fun onPeerReport(view: PeerView, client: HttpClient) {
+    private suspend fun onPolled(view: PeerView, client: HttpClient) {
+        onReport(view)
+        follow(view, client)
+    }
+
+    private fun onReport(view: PeerView) {
+        view.report?.crashes?.forEach(crashes::learn)
+    }
+
+    /** Fetches what the entry in [view] offers beside its report. */
+    private suspend fun follow(view: PeerView, client: HttpClient) {
         val report = view.report ?: return
-        report.crashes.forEach(crashes::learn)
-        peerTables.follow(view) { table -> fetchTable(client, table, TABLE_TIMEOUT) }
+        peerTables.follow(view) { table -> fetch(client, table) }
         for ((table, follower) in followers) {
             val offered = report.revisionOf(table) ?: continue
             val isAnswered = clock.now() - follower.answeredAt < STORE_STALENESS_BOUND
@@ -386,6 +434,11 @@
         }
     }
 
+    private suspend fun fetch(client: HttpClient, table: String): TableCopy? {
+        countPeerCall(Peers.TABLE_PATH)
+        return fetchTable(client, table, TABLE_TIMEOUT)
+    }
+
     private suspend fun adopt(
         follower: TableFollower,
         table: String,
@@ -393,7 +446,7 @@
         source: String,
         client: HttpClient
     ) {
-        val copy = fetchTable(client, table, TABLE_TIMEOUT) ?: return
+        val copy = fetch(client, table) ?: return
         // If the source has reached a later era meanwhile, the rows are newer than they seem.
         val contents = TableContents(copy.storeRows(), StoreRevision(era, copy.version))
         follower.adopt(contents, source)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
@@ -11,6 +11,7 @@
 import org.shallotplank.gateway.http.HttpCall
 import org.shallotplank.gateway.http.HttpEndpoint
 import org.shallotplank.gateway.http.HttpReply
+import org.shallotplank.gateway.peer.EXCHANGE_PATH
 import org.shallotplank.gateway.peer.HOLD_PATH
 import org.shallotplank.gateway.peer.Peers
 
@@ -33,6 +34,10 @@
         metrics.gauge(GatewayMetric.STORE_AGE) {
             clusterView.storeAge.toDouble(DurationUnit.SECONDS)
         }
+        metrics.gauge(GatewayMetric.PEER_REPORT_AGE) {
+            clusterView.oldestReportAge.toDouble(DurationUnit.SECONDS)
+        }
+        metrics.gauge(GatewayMetric.HUB) { if (clusterView.isHub) 1 else 0 }
     }
 
     private fun readiness(request: EndpointRequest): HttpReply = when {
@@ -58,6 +63,8 @@
 
     @OptIn(ExperimentalSerializationApi::class)
     private fun peer(request: EndpointRequest): HttpReply = when (request.path) {
+        EXCHANGE_PATH -> clusterView.answerExchange(request.body)
+            ?.let { HttpReply(OK, it, HttpCall.CBOR) } ?: HttpReply(BAD_REQUEST)
         Peers.REPORT_PATH ->
             HttpReply(OK, Cbor.encodeToByteArray(clusterView.report()), HttpCall.CBOR)
         Peers.TABLE_PATH -> {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
@@ -24,6 +24,11 @@
         counter.increment()
     }
 
+    /** Counts a call to the peer interface of another entry. */
+    public fun countPeerCall(path: String) {
+        registry.counter(GatewayMetric.PEER_CALLS.meter, "path", path).increment()
+    }
+
     /** Records the end of a request that took [duration]. */
     public fun ended(outcome: RequestOutcome, duration: Duration) {
         timers.getOrPut(outcome) {
@@ -73,5 +78,11 @@
         "Configuration version in force"
     ),
     STORE_AGE("shallotplank.gateway.store.age.seconds", "Time since the store last answered"),
+    PEER_CALLS("shallotplank.gateway.peer.calls", "Calls to other entries by path"),
+    PEER_REPORT_AGE(
+        "shallotplank.gateway.peer.report.age.seconds",
+        "Age of the oldest report of an entry that counts as alive"
+    ),
+    HUB("shallotplank.gateway.hub", "1 while the entry is a hub, else 0"),
     READY("shallotplank.gateway.ready", "1 while the entry is ready, else 0")
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
@@ -79,7 +79,8 @@
         scope = scope,
         environment = environment,
         exchanges = exchanges,
-        log = ::log
+        log = ::log,
+        countPeerCall = metrics::countPeerCall
     )
     private val interfaces =
         GatewayInterfaces(settings, directory, group, metrics, clusterView, exchanges)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerTables.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerTables.kt
@@ -13,17 +13,37 @@
  *   empty.
  * @property rows the rows as of now.
  * @property learn called with the rows of another entry.
- * @property isMerged whether what an entry learns becomes part of its own copy and versions are
- *   digests, equal for equal rows at all entries. Entries then fetch rows once that many offer.
+ * @property sharing how the rows of an entry reach all others.
+ * @property learnFrom called instead of [learn] by those that need to know whose rows they are and
+ *   how old.
  */
 internal class PeerTable(
     val name: String,
     val version: () -> Long?,
     val rows: () -> List<RowCopy>,
     val learn: (List<StoreRow>) -> Unit,
-    val isMerged: Boolean = false
+    val sharing: TableSharing = TableSharing.BY_ENTRY,
+    val learnFrom: (PeerRows) -> Unit = { learn(it.rows) }
 )
 
+/** How the rows of a [PeerTable] reach all entries. */
+internal enum class TableSharing {
+    /** Hubs pass on the rows of each entry as its own. */
+    BY_ENTRY,
+
+    /** What an entry learns becomes part of its own rows. */
+    ACCUMULATED,
+
+    /**
+     * As [ACCUMULATED], and versions are digests that are equal for equal rows of all entries, so
+     * that entries fetch rows once that many offer.
+     */
+    DIGESTED
+}
+
+/** Rows of the entry [instance], which it read no earlier than [readAt]. */
+internal class PeerRows(val instance: String, val readAt: Instant, val rows: List<StoreRow>)
+
 /**
  * The tables that entries exchange beside their reports.
  *
@@ -32,7 +52,10 @@
  * fields, but skip unknown tables.
  */
 internal class PeerTables(private val tables: List<PeerTable>, private val clock: Clock) {
-    private val merged = tables.filter { it.isMerged }.associate { it.name to MergedVersions() }
+    private val merged = tables.filter { it.sharing == TableSharing.DIGESTED }.associate {
+        it.name to
+            MergedVersions()
+    }
 
     /** Versions of the tables that are not empty, by name. */
     val versions: Map<String, Long>
@@ -51,7 +74,8 @@
             val offered = report.tableVersions[table.name]
                 ?.let { OfferedVersion(report.incarnation, it) }
             if (offered != null && takeIfWanted(table, offered, view)) {
-                fetch(table.name)?.let { learn(table, offered, it, view) }
+                val requestedAt = clock.now()
+                fetch(table.name)?.let { learn(table, offered, it, view, requestedAt) }
             }
         }
     }
@@ -63,11 +87,39 @@
         return versions.takeIfWanted(offered.version, clock.now())
     }
 
-    private fun learn(table: PeerTable, offered: OfferedVersion, copy: TableCopy, view: PeerView) {
+    /** The rows of this entry that hubs pass on as its own. */
+    fun ownTables(): List<EntryTable> = tables.filter { it.sharing == TableSharing.BY_ENTRY }
+        .mapNotNull { table ->
+            table.version()?.let { EntryTable(table.name, it, ageMillis = 0, table.rows()) }
+        }
+
+    /** Learns the rows of the entry in [view] that came with its report as of [sentAt]. */
+    fun learn(view: PeerView, received: List<EntryTable>, sentAt: Instant) {
+        val report = view.report ?: return
+        for (copy in received) {
+            val table = tables.find { it.name == copy.name } ?: continue
+            val offered = OfferedVersion(report.incarnation, copy.version)
+            val readAt = sentAt - copy.ageMillis.milliseconds
+            if (offered != view.fetchedVersions[table.name]) {
+                learn(table, offered, TableCopy(copy.version, copy.rows), view, readAt)
+            }
+        }
+    }
+
+    private fun learn(
+        table: PeerTable,
+        offered: OfferedVersion,
+        copy: TableCopy,
+        view: PeerView,
+        readAt: Instant
+    ) {
         view.fetchedVersions[table.name] = offered
         // The copy may be newer than the offer.
         merged[table.name]?.add(copy.version)
-        table.learn(copy.storeRows())
+        if (table.sharing == TableSharing.BY_ENTRY) {
+            view.tables[table.name] = ReceivedTable(copy.version, copy.rows, readAt)
+        }
+        table.learnFrom(PeerRows(view.report?.instance.orEmpty(), readAt, copy.storeRows()))
     }
 }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
@@ -21,20 +21,10 @@
 import org.shallotplank.gateway.http.HttpCall
 import org.shallotplank.gateway.http.HttpClient
 
-/** The observed state of another entry. */
-internal class PeerView(val address: Address) {
-    var report: PeerReport? = null
-    var lastContactAt: Instant = Instant.DISTANT_PAST
-    var isAlive: Boolean = false
-
-    /** The last fetched versions of its [PeerTables], by name. */
-    val fetchedVersions = HashMap<String, OfferedVersion>()
-}
-
 /**
- * Polls the reports of the other entries.
+ * The other entries and their reports, which it polls or gets by exchange (see [EntryExchange]).
  *
- * An entry counts as alive if its last report was requested less than [livenessTimeout] ago.
+ * An entry counts as alive if its last report was made less than [livenessTimeout] ago.
  */
 internal class Peers(
     private val group: EventLoopGroup,
@@ -43,44 +33,76 @@
     private val clock: Clock,
     private val livenessTimeout: Duration,
     private val log: (LogRecord) -> Unit,
+    private val countCall: (path: String) -> Unit = {},
     private val onReport: suspend (PeerView, HttpClient) -> Unit
 ) {
     private val startedAt = clock.now()
     private val views = LinkedHashMap<Address, PeerView>()
     private val jobs = HashMap<Address, Job>()
 
+    /** All tracked entries except this one. */
+    val all: Collection<PeerView> get() = views.values
+
     /** Entries that count as alive now. */
-    val alive: List<PeerView>
-        get() = views.values.filter { clock.now() - it.lastContactAt < livenessTimeout }
+    val alive: List<PeerView> get() = views.values.filter(::isAlive)
+
+    /** The entry at [address], null if it is not tracked. */
+    fun view(address: Address): PeerView? = views[address]
+
+    /** Whether the last report in [view] is recent enough. */
+    fun isAlive(view: PeerView): Boolean = clock.now() - view.lastContactAt < livenessTimeout
 
     /** Polls exactly the entries at [addresses], except this one, from now on. */
-    fun pollOnly(addresses: Set<Address>) {
-        val polled = addresses - own
-        (jobs.keys - polled).forEach { removed ->
-            jobs.remove(removed)?.cancel()
-            views.remove(removed)
-        }
-        for (address in polled - jobs.keys) {
-            val view = PeerView(address)
-            views[address] = view
-            jobs[address] = scope.launch { poll(view) }
+    fun pollOnly(addresses: Set<Address>): Unit = track(addresses, addresses)
+
+    /** Tracks exactly the entries at [addresses], except this one, and polls those in [polled]. */
+    fun track(addresses: Set<Address>, polled: Set<Address>) {
+        val tracked = addresses - own
+        views.keys.retainAll(tracked)
+        for (address in tracked - views.keys) views[address] = PeerView(address)
+        val wanted = polled intersect tracked
+        (jobs.keys - wanted).forEach { removed -> jobs.remove(removed)?.cancel() }
+        for (address in wanted - jobs.keys) {
+            jobs[address] = scope.launch { poll(views.getValue(address)) }
         }
     }
 
+    /**
+     * Takes over the report in [view] that is encoded in [body], if it is newer than the known one.
+     *
+     * @param contactAt a time before or at which the entry made the report.
+     * @return whether it was taken over.
+     */
+    fun accept(view: PeerView, body: ByteArray, contactAt: Instant, isFirstHand: Boolean): Boolean {
+        if (contactAt < view.lastContactAt) return false
+        val report = decode(body) ?: return false
+        if (report.incarnation != view.report?.incarnation) view.tables.clear()
+        view.report = report
+        view.encodedReport = body
+        view.lastContactAt = contactAt
+        view.isFirstHand = isFirstHand
+        return true
+    }
+
+    /** Logs which entries that are not polled came or went. */
+    fun updateLiveness(): Unit = views.values.filter {
+        it.address !in jobs
+    }.forEach(::updateLiveness)
+
     private suspend fun poll(view: PeerView) {
         val client = HttpClient(group, view.address)
         try {
             while (true) {
                 val requestedAt = clock.now()
+                countCall(REPORT_PATH)
                 val reply = client.call(HttpCall("GET", REPORT_PATH), TIMEOUT).getOrNull()
-                val report = reply?.takeIf { it.status == OK }?.let { decode(it.body) }
-                if (report != null) {
-                    view.report = report
-                    view.lastContactAt = requestedAt
+                if (reply?.status == OK &&
+                    accept(view, reply.body, requestedAt, isFirstHand = true)
+                ) {
                     onReport(view, client)
                 }
                 updateLiveness(view)
-                delay(if (view.isAlive) pollInterval(views.size) else unreachableInterval())
+                delay(if (view.isAlive) pollInterval(jobs.size) else unreachableInterval())
             }
         } finally {
             client.close()
@@ -96,13 +118,13 @@
     private fun unreachableInterval(): Duration = if (clock.now() - startedAt <
         STARTUP_TIME
     ) {
-        pollInterval(views.size)
+        pollInterval(jobs.size)
     } else {
         UNREACHABLE_INTERVAL
     }
 
     private fun updateLiveness(view: PeerView) {
-        val isAlive = clock.now() - view.lastContactAt < livenessTimeout
+        val isAlive = isAlive(view)
         if (isAlive == view.isAlive) return
         view.isAlive = isAlive
         log(
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PromptCrashTable.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PromptCrashTable.kt
@@ -36,7 +36,7 @@
         learn = { rows ->
             onLearned(rows.mapNotNull { decode(it, clock, log) }.toPersistentList())
         },
-        isMerged = true
+        sharing = TableSharing.DIGESTED
     )
 }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/UpstreamRateTable.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/UpstreamRateTable.kt
@@ -34,7 +34,8 @@
         rows = { rates().map { (upstream, rate) -> encode(upstream, rate, clock) } },
         learn = { rows ->
             onLearned(rows.mapNotNull { decode(it, clock, log) }.toMap().toPersistentMap())
-        }
+        },
+        sharing = TableSharing.ACCUMULATED
     )
 }
 
--- /dev/null
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/EntryExchangeTest.kt
@@ -0,0 +1,91 @@
+package org.shallotplank.gateway
+
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.seconds
+import org.junit.jupiter.api.Nested
+
+/**
+ * Guards against entries that lose each other, or changes of tables, when their hub ends.
+ *
+ * Eight entries in two zones on loopback, of which the first two of each zone are hubs.
+ */
+class EntryExchangeTest {
+    private val upstream = ScriptedUpstream { request, socket, _ -> socket.send(answer(request)) }
+    private val store = SharedTables().apply { put(TestTables.UPSTREAMS, "u", "{}") }
+    private val entries = List(ENTRIES) { index ->
+        GatewayProcessFixture(
+            upstream = upstream.address,
+            tables = store.of("e$index"),
+            stopGrace = 1.seconds,
+            instance = "e$index",
+            zone = "ab"[index % 2].toString(),
+            maxPollingEntries = 4
+        )
+    }
+
+    private fun await(what: String, condition: () -> Boolean) {
+        val end = Clock.System.now() + WAIT
+        while (!condition()) {
+            assertTrue(Clock.System.now() < end, what)
+            Thread.sleep(POLL_MILLIS)
+        }
+    }
+
+    private fun List<GatewayProcessFixture>.awaitListed(count: Int) =
+        forEach { entry -> await("$count entries are listed") { entry.listedEntries() == count } }
+
+    private fun start() {
+        entries.forEach { it.start() }
+        entries.forEach { entry -> await("ready") { entry.isReady() } }
+        entries.awaitListed(ENTRIES)
+    }
+
+    private fun GatewayProcessFixture.calls(path: String) =
+        metric("shallotplank_gateway_peer_calls_total{path=\"$path\"}")
+
+    @AfterTest
+    fun close() {
+        entries.map { Thread(it.process::stop).apply { start() } }.forEach { it.join() }
+        upstream.close()
+    }
+
+    @Nested
+    inner class ManyEntries {
+        @Test
+        fun `see each other through hubs without polling`() {
+            start()
+            await("four hubs") { entries.sumOf { it.metric("shallotplank_gateway_hub ") } == 4.0 }
+            Thread.sleep(SETTLE_MILLIS)
+            val polls = entries.sumOf { it.calls("/peer/report") }
+            val exchanges = entries.sumOf { it.calls("/peer/exchange") }
+            Thread.sleep(SETTLE_MILLIS)
+            assertEquals(polls, entries.sumOf { it.calls("/peer/report") })
+            assertTrue(entries.sumOf { it.calls("/peer/exchange") } > exchanges)
+            entries.awaitListed(ENTRIES)
+        }
+
+        @Test
+        fun `serve and learn changes of tables after a hub has stopped`() {
+            start()
+            entries[0].process.stop()
+            val others = entries.drop(1)
+            others.awaitListed(ENTRIES - 1)
+            others.forEach { assertEquals("HTTP/1.1 200 OK", it.statusOfRequest()) }
+            store.put(TestTables.OPERATORS, "a", "out of service")
+            others.forEach { entry -> await("change") { "200" !in entry.statusOfRequest() } }
+            store.remove(TestTables.OPERATORS, "a")
+            others.forEach { entry -> await("removal") { "200" in entry.statusOfRequest() } }
+        }
+    }
+
+    private companion object {
+        const val ENTRIES = 8
+        const val POLL_MILLIS = 50L
+        const val SETTLE_MILLIS = 2_000L
+        val WAIT = 20.seconds
+    }
+}
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayMetricsPageTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayMetricsPageTest.kt
@@ -26,7 +26,9 @@
         val metrics = GatewayMetrics()
         metrics.countEvent(LogEvent.PROCESS_STARTED)
         metrics.ended(RequestOutcome.ANSWERED, 5.milliseconds)
-        val recorded = setOf(GatewayMetric.REQUESTS, GatewayMetric.LOG_EVENTS)
+        metrics.countPeerCall("/peer/report")
+        val recorded =
+            setOf(GatewayMetric.REQUESTS, GatewayMetric.LOG_EVENTS, GatewayMetric.PEER_CALLS)
         (GatewayMetric.entries - recorded).forEach { metrics.gauge(it) { 1 } }
         val names = metrics.scrape().lines().filter { it.startsWith("# TYPE ") }
             .map { it.split(' ')[2] }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayProcessFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayProcessFixture.kt
@@ -30,6 +30,7 @@
 import org.shallotplank.gateway.group.RankExperts
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.log.JsonLogWriter
+import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.testsupport.LoopbackAddresses
 
 /**
@@ -39,12 +40,17 @@
  */
 internal class GatewayProcessFixture(
     private val upstream: Address,
-    tables: TestTables,
-    private val stopGrace: Duration = 2.seconds
+    tables: MetadataStore,
+    private val stopGrace: Duration = 2.seconds,
+    private val instance: String = "entry",
+    private val zone: String = "a",
+    private val maxPollingEntries: Int = 24
 ) {
     private val service = ServiceName("s")
     private val address = LoopbackAddresses.reserve()
     private val readinessAddress = LoopbackAddresses.reserve()
+    private val directoryAddress = LoopbackAddresses.reserve()
+    private val metricsPort = LoopbackAddresses.reserve().port
     private val clock = SteadyClock()
 
     val process = GatewayProcess(
@@ -60,7 +66,9 @@
             },
             readUpstream = { record(it.key).right() }
         ),
-        directory = DirectoryWire("/ready", "/lookup") { _, _ -> ByteArray(0) },
+        directory = DirectoryWire("/ready", "/lookup") { addresses, _ ->
+            addresses.joinToString(",").toByteArray()
+        },
         store = { tables },
         ranks = { _, _ -> NoRanks },
         environment = GatewayEnvironment(
@@ -77,13 +85,20 @@
     fun connect() = Socket(address.host, address.port).apply { soTimeout = 5_000 }
 
     /** Whether the entry says that it is ready, which it ceases to be when it begins to stop. */
-    fun isReady(): Boolean {
-        val readiness = Socket(readinessAddress.host, readinessAddress.port)
-        return readiness.use {
-            it.soTimeout = 5_000
-            it.send("GET /ready HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n")
-            it.getInputStream().bufferedReader().readLine() == "HTTP/1.1 200 OK"
-        }
+    fun isReady(): Boolean = get(readinessAddress, "/ready").startsWith("HTTP/1.1 200 OK")
+
+    /** Number of entries that this one lists for callers. */
+    fun listedEntries(): Int = get(directoryAddress, "/lookup").substringAfter("\r\n\r\n")
+        .split(",").count { ":" in it }
+
+    /** The value of the first line of its metrics that begins with [start], 0 without one. */
+    fun metric(start: String): Double = get(address.copy(port = metricsPort), "/metrics").lines()
+        .find { it.startsWith(start) }?.substringAfterLast(" ")?.toDouble() ?: 0.0
+
+    private fun get(from: Address, path: String): String = Socket(from.host, from.port).use {
+        it.soTimeout = 5_000
+        it.send("GET $path HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n")
+        it.getInputStream().bufferedReader().readText()
     }
 
     /** Sends a request that may run once and returns the status line of its answer. */
@@ -120,21 +135,22 @@
     )
 
     private fun settings() = GatewayEntrySettings(
-        instanceId = InstanceId("entry"),
-        zone = ZoneName("a"),
+        instanceId = InstanceId(instance),
+        zone = ZoneName(zone),
         listenAddress = address,
         readinessAddress = readinessAddress,
-        directoryAddress = LoopbackAddresses.reserve(),
+        directoryAddress = directoryAddress,
         peerAddress = LoopbackAddresses.reserve(),
         storeAddress = address,
-        metricsPort = LoopbackAddresses.reserve().port,
+        metricsPort = metricsPort,
         relayPort = null,
         maxConnections = 100,
         stopGrace = stopGrace,
         entryListTtl = 2.seconds,
         retryRatio = 0.2,
         retryWindow = 10.seconds,
-        retrySlack = 100
+        retrySlack = 100,
+        maxPollingEntries = maxPollingEntries
     )
 
     private object NoRanks : RankPort {
