--- a/core/src/main/kotlin/org/shallotplank/core/gateway/EarlyRequests.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/EarlyRequests.kt
@@ -58,7 +58,7 @@
         route.targets.any { it.service in table.servicesOfSeveralPriorities }
     }
     return ordered.sortedWith(
-        compareBy({ table.priorityOf(it) }, { request -> latestEnd(request, table) })
+        compareBy({ table.levelOf(it) }, { request -> latestEnd(request, table) })
     ) + others
 }
 
@@ -70,9 +70,10 @@
 private fun RouteTable.routeOf(request: GatewayRequest): Route? =
     match(request.host, request.path.substringBefore('?'))
 
-private fun RouteTable.priorityOf(request: GatewayRequest): Int {
+private fun RouteTable.levelOf(request: GatewayRequest): Int {
+    val route = routeOf(request) ?: return Int.MAX_VALUE
     val holder = request.credential?.let { customersByCredential[it] }
-    return holder?.priority ?: routeOf(request)?.priority ?: Int.MAX_VALUE
+    return route.targets.minOf { priorityOf(route, holder, it.service).level }
 }
 
 /** Refuses the held requests that have reached their longest wait. */
