Scale the lead of the held step by the time of a step

Cause: after an order got no answer, the keeper holds the group at a step that is three further ahead. With a slow rank, which also answers orders late, a step takes 0.6 s, so that a map came into force 2.4 s after its plan.

Change: the lead is 450 ms, at most three steps as before; the keeper estimates the time of a step from its reads of counts, which are never stale. Steps up to 150 ms have the lead that they had. Ranks are armed while the step is held and before it is released, as before.

Ruled out: intervals of ticks and polls (50 to 100 ms) do not grow with the time of a step; the wait for the present step to end does, and stays.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -65,6 +65,7 @@
     val awaitedCounts: PersistentSet<Int> = persistentSetOf(),
     /** The highest step that is known to have begun. */
     val latestStep: Long = 0,
+    val pace: StepPace = StepPace(),
     val requestedAt: Instant = Instant.DISTANT_PAST,
     val countsRequestedAt: Instant = Instant.DISTANT_PAST,
     val plannedAt: Instant = Instant.DISTANT_PAST,
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -64,6 +64,7 @@
         reports = persistentMapOf(),
         counts = persistentMapOf(),
         latestStep = 0,
+        pace = StepPace(),
         mapStep = 0,
         map = null
     )
@@ -140,12 +141,14 @@
  * The first step that may not have begun; if it has, the keeper tries the steps after it.
  *
  * A retry takes a small part of a step; a step far ahead would delay the change by all steps in
- * between. After an order got no answer, the step is [LOSS_LEAD_STEPS] further ahead, which leaves
- * time to repeat the orders that arm the ranks.
+ * between. After an order got no answer, the step is ahead by up to [LOSS_LEAD_STEPS] more, which
+ * leaves [LOSS_LEAD_TIME] to repeat the orders that arm the ranks. Long steps need fewer of them,
+ * or none: the group then waits less for the last order than for one more step.
  */
 private fun GroupKeeper.nextStepToHold(now: Instant): Long {
     val wasOrderLost = now - lastUnansweredOrderAt < LOSS_WINDOW
-    return latestStep + 1 + if (wasOrderLost) LOSS_LEAD_STEPS else 0
+    val leadSteps = pace.stepTime(now)?.let { (LOSS_LEAD_TIME / it).toInt() } ?: LOSS_LEAD_STEPS
+    return latestStep + 1 + if (wasOrderLost) leadSteps.coerceAtMost(LOSS_LEAD_STEPS) else 0
 }
 
 /**
@@ -177,7 +180,8 @@
     val before = counts[event.rank]
     val known = copy(
         counts = counts.put(event.rank, event.counts),
-        latestStep = maxOf(latestStep, event.step)
+        latestStep = maxOf(latestStep, event.step),
+        pace = pace.observed(event.step, now)
     )
     val counted = if (before == null) known else known.addTokens(before, event, now)
     return counted.recordAnswer(event.rank)
@@ -356,6 +360,9 @@
 /** A step takes 50 to 100 ms and orders are repeated as often; few need a third attempt. */
 private const val LOSS_LEAD_STEPS = 3
 
+/** Time for three attempts at an order; also [LOSS_LEAD_STEPS] steps of 150 ms. */
+private val LOSS_LEAD_TIME = 450.milliseconds
+
 /** Further steps to try if the step to hold has begun; one second in steps of 25 ms. */
 private const val MAX_HOLD_RETRIES = 40
 
