Let hubs supply the other entries with the store's tables

With hubs, members called the store as often as before, about five times a second each. A hub now adds its latest changes and the age of its contact with the store to its answers.

An entry now counts as covered by the age of its exchanged report.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoopGroup
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.collections.immutable.toPersistentSet
@@ -38,7 +37,6 @@
 import org.shallotplank.gateway.peer.PeerTables
 import org.shallotplank.gateway.peer.PeerView
 import org.shallotplank.gateway.peer.Peers
-import org.shallotplank.gateway.peer.RowCopy
 import org.shallotplank.gateway.peer.SeenLease
 import org.shallotplank.gateway.peer.SharedCrashes
 import org.shallotplank.gateway.peer.SlowRank
@@ -47,16 +45,10 @@
 import org.shallotplank.gateway.peer.delegate
 import org.shallotplank.gateway.peer.fetchTable
 import org.shallotplank.gateway.peer.promptCrashTable
-import org.shallotplank.gateway.peer.reportedVersions
-import org.shallotplank.gateway.peer.revisionOf
 import org.shallotplank.gateway.peer.sendDelegated
 import org.shallotplank.gateway.peer.upstreamRateTable
-import org.shallotplank.gateway.store.FollowSettings
 import org.shallotplank.gateway.store.MetadataStore
-import org.shallotplank.gateway.store.StoreRevision
 import org.shallotplank.gateway.store.StoreRow
-import org.shallotplank.gateway.store.TableContents
-import org.shallotplank.gateway.store.TableFollower
 import org.shallotplank.gateway.store.TableReplica
 
 /**
@@ -96,7 +88,18 @@
         wallClock = environment.wallClock,
         confirmedAt = ::leaseConfirmedAt
     )
-    private lateinit var followers: Map<String, TableFollower>
+    private val tables = StoreTables(
+        settings = settings,
+        schema = schema,
+        clock = clock,
+        random = environment.random,
+        isHub = ::isHub,
+        entryCount = { entryLocations.size },
+        isAfterLastSuspension = leaseGuard::isAfterLastSuspension,
+        fetch = ::fetch,
+        onContact = ::onContact,
+        log = log
+    )
     private lateinit var registration: Registration
     private lateinit var keepers: GroupKeepers
     private lateinit var ranks: RankPort
@@ -134,7 +137,9 @@
             isAfterLastSuspension = leaseGuard::isAfterLastSuspension,
             report = ::report,
             log = log,
-            countCall = countPeerCall
+            countCall = countPeerCall,
+            suppliedTables = tables::supplied,
+            onSupplied = tables::onSupplied
         ),
         peers = peers,
         tables = peerTables,
@@ -155,33 +160,10 @@
 
     /** Time since the store last answered, for the metrics. */
     val storeAge: Duration
-        get() = clock.now() - (followers.values.maxOfOrNull { it.answeredAt } ?: clock.now())
+        get() = clock.now() - (tables.answeredAt ?: clock.now())
 
     /** Starts to poll the store and the other entries. */
     fun start(store: MetadataStore, ranks: RankPort) {
-        val follows = listOf(
-            FollowSettings(schema.operatorTable, wait = OPERATOR_WAIT),
-            FollowSettings(
-                schema.upstreamTable,
-                wait = UPSTREAM_WAIT,
-                minInterval = ::upstreamPollInterval
-            ),
-            FollowSettings(
-                schema.entryTable,
-                wait = entryWait(),
-                minInterval = { ENTRY_POLL_INTERVAL }
-            )
-        )
-        followers = follows.associate { follow ->
-            follow.table to TableFollower(
-                settings = follow,
-                store = store,
-                clock = clock,
-                random = environment.random,
-                log = log,
-                onContact = { replica, isChanged -> onContact(follow.table, replica, isChanged) }
-            )
-        }
         val row = PeerRow(
             incarnation = environment.incarnation,
             peerAddress = settings.peerAddress.toString(),
@@ -192,7 +174,7 @@
         keepers = GroupKeepers(keeperContext(), store, ranks, scope)
         registration = Registration(settings.instanceId.value, row, schema.entryTable, store)
         exchanges.onCrash = crashes::add
-        followers.values.forEach { follower -> scope.launch { follower.run() } }
+        tables.start(store, scope)
         scope.launch { registration.keep(::entryReplica) { !exchanges.state.isStopping } }
         exchange.start(seeds)
     }
@@ -206,13 +188,14 @@
     /** Marks the entry unready after a suspension of [length], until it reads its tables again. */
     fun onSuspension(length: Duration) {
         staleSince = clock.now()
+        tables.readAgain()
         setReady(false, "paused for ${length.inWholeMilliseconds} ms")
     }
 
     /** Expires missing upstreams and crashes, updates readiness and advances the keepers. */
     fun tick(now: Instant) {
         if (upstreams.expire(now)) emitUpstreams()
-        forgetLostRows(now)
+        tables.forgetLostRows(now, rewriteGrace)
         crashes.expire(now)
         updateReadiness(now)
         exchange.tick(now)
@@ -220,24 +203,6 @@
         keepers.tick(now)
     }
 
-    private fun forgetLostRows(now: Instant) {
-        for ((table, follower) in followers) {
-            val isGraceOver = now - follower.returnedAt >= rewriteGrace
-            if (isGraceOver && follower.replica.forgetLostRows()) {
-                onContact(table, follower.replica, isChanged = true)
-            }
-        }
-    }
-
-    private fun upstreamPollInterval(): Duration =
-        (UPSTREAM_POLL_INTERVAL_PER_ENTRY * entryLocations.size).coerceIn(
-            MIN_UPSTREAM_POLL_INTERVAL,
-            MAX_UPSTREAM_POLL_INTERVAL
-        )
-
-    private fun entryWait(): Duration =
-        if (settings.areFencesChecked) ENTRY_WAIT else LeaseGuard.MAX_POLL_WAIT
-
     private fun keeperContext() = KeeperContext(
         own = KeeperCandidate(settings.instanceId.value, environment.incarnation),
         candidates = ::keeperCandidates,
@@ -252,7 +217,7 @@
     )
 
     private val leasesReadAt: Instant
-        get() = followers.getValue(schema.entryTable).answeredAt
+        get() = tables[schema.entryTable].answeredAt
 
     private fun leaseConfirmedAt(group: String): Instant {
         val others = entryLocations.map { it.instance.value } - settings.instanceId.value
@@ -325,7 +290,7 @@
         isReady = exchanges.state.isReady,
         isStopping = exchanges.state.isStopping,
         tableVersions = peerTables.versions +
-            reportedVersions(followers.mapValues { (_, follower) -> follower.replica.revision }),
+            tables.versions,
         inFlight = exchanges.state.inFlight
             .map { (key, count) -> UpstreamInFlight(key.id.value, key.incarnation, count) },
         crashes = crashes.recent,
@@ -340,25 +305,20 @@
     )
 
     /** The copy of [table], or null before the first read. */
-    fun tableCopy(table: String): TableCopy? {
-        peerTables.copy(table)?.let { return it }
-        val replica = followers[table]?.replica?.takeIf { it.isRead } ?: return null
-        val rows = replica.rows.map { RowCopy(it.key, it.value, it.version) }
-        return TableCopy(replica.revision.version, rows)
-    }
+    fun tableCopy(table: String): TableCopy? = peerTables.copy(table) ?: tables.copy(table)
 
     /** Rows of entries; the same table also holds those of group leases. */
     private fun entryRows(): List<StoreRow> = with(entryReplica()) { rows + lostRows }
         .filter { it.key.startsWith(Registration.KEY_PREFIX) }
 
-    private fun entryReplica(): TableReplica = followers.getValue(schema.entryTable).replica
+    private fun entryReplica(): TableReplica = tables[schema.entryTable].replica
 
     private fun onContact(table: String, replica: TableReplica, isChanged: Boolean) {
         if (!isChanged) return
         when (table) {
             schema.operatorTable -> onOperatorRows(replica)
             schema.upstreamTable -> {
-                upstreams.update(replica, followers.getValue(table).returnedAt, clock.now())
+                upstreams.update(replica, tables[table].returnedAt, clock.now())
                 emitUpstreams()
             }
             schema.entryTable -> followPeers()
@@ -425,13 +385,7 @@
     private suspend fun follow(view: PeerView, client: HttpClient) {
         val report = view.report ?: return
         peerTables.follow(view) { table -> fetch(client, table) }
-        for ((table, follower) in followers) {
-            val offered = report.revisionOf(table) ?: continue
-            val isAnswered = clock.now() - follower.answeredAt < STORE_STALENESS_BOUND
-            if (!isAnswered && offered > follower.replica.revision) {
-                adopt(follower, table, offered.era, report.instance, client)
-            }
-        }
+        tables.adopt(report, client)
     }
 
     private suspend fun fetch(client: HttpClient, table: String): TableCopy? {
@@ -439,25 +393,11 @@
         return fetchTable(client, table, TABLE_TIMEOUT)
     }
 
-    private suspend fun adopt(
-        follower: TableFollower,
-        table: String,
-        era: Long,
-        source: String,
-        client: HttpClient
-    ) {
-        val copy = fetch(client, table) ?: return
-        // If the source has reached a later era meanwhile, the rows are newer than they seem.
-        val contents = TableContents(copy.storeRows(), StoreRevision(era, copy.version))
-        follower.adopt(contents, source)
-    }
-
     private fun updateReadiness(now: Instant) {
         val since = staleSince ?: return
-        val isComplete = followers.values.all { it.replica.isRead }
-        val isFresh = followers.values.all { it.answeredAt > since }
+        val isFresh = tables.areReadAfter(since)
         val isWaitOver = now - since > REFRESH_TIMEOUT
-        if (!isComplete || exchanges.state.routes == null) return
+        if (!tables.isComplete || exchanges.state.routes == null) return
         if (isFresh || isWaitOver) {
             staleSince = null
             setReady(true, if (isFresh) "store was read" else "store gave no answer in time")
@@ -478,27 +418,6 @@
     }
 
     private companion object {
-        /**
-         * Maximum wait of a call for changes.
-         *
-         * A change has to be in force within 2 s, or within 5 s if the connection was silent; the
-         * client closes a connection without an answer soon after this wait.
-         */
-        val OPERATOR_WAIT = 1_600.milliseconds
-        val UPSTREAM_WAIT = 1_600.milliseconds
-        val MIN_UPSTREAM_POLL_INTERVAL = 300.milliseconds
-
-        /** Limits the total call rate of the entries for a table that changes continuously. */
-        val UPSTREAM_POLL_INTERVAL_PER_ENTRY = 45.milliseconds
-
-        /** Half of the 2 s after which a leaving upstream must get no further requests. */
-        val MAX_UPSTREAM_POLL_INTERVAL = 1.seconds
-        val ENTRY_WAIT = 4_000.milliseconds
-        val ENTRY_POLL_INTERVAL = 500.milliseconds
-
-        /** Age of the last store contact above which newer tables are fetched from peers. */
-        val STORE_STALENESS_BOUND = 2_000.milliseconds
-
         val TABLE_TIMEOUT = 1.seconds
 
         /** Time after which an entry serves with its current copies if the store is silent. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
@@ -31,7 +31,15 @@
     val isAfterLastSuspension: (Instant) -> Boolean,
     val report: () -> PeerReport,
     val log: (LogRecord) -> Unit,
-    val countCall: (path: String) -> Unit
+    val countCall: (path: String) -> Unit,
+    /** The copies of the store's tables that members of this entry may use. */
+    val suppliedTables: (now: Instant) -> List<SuppliedTable> = { emptyList() },
+    /** Called with the copies of a hub as of [sentAt]. */
+    val onSupplied: suspend (
+        tables: List<SuppliedTable>,
+        sentAt: Instant,
+        hub: HttpClient
+    ) -> Unit = { _, _, _ -> }
 )
 
 /**
@@ -203,7 +211,7 @@
         private const val JITTER = 0.1
         private val PLAN_INTERVAL = 200.milliseconds
 
-        /** Longer than reports take through two hubs. */
-        private val COVER_TIME = 1.5.seconds
+        /** Longer than reports take through two hubs, and shorter than they count as alive. */
+        private val COVER_TIME = 1.7.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeAnswers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeAnswers.kt
@@ -74,8 +74,8 @@
             contactAt = contactAt,
             isFirstHand = !request.isHub
         )
+        view.exchangedAt = maxOf(view.exchangedAt, contactAt)
         if (!isNew) return
-        view.exchangedAt = clock.now()
         tables.learn(view, request.tables, contactAt)
         onPushed(view)
     }
@@ -101,7 +101,8 @@
             .filter { it.isFirstHand || !isHub }
             .filter { context.isAfterLastSuspension(it.lastContactAt) }
             .map { view -> exchanged(view, now) }
-        return ExchangeContent(others + own)
+        val supplied = if (isHub) emptyList() else context.suppliedTables(now)
+        return ExchangeContent(others + own, supplied)
     }
 
     private fun exchanged(view: PeerView, now: Instant) = ExchangedReport(
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
@@ -67,7 +67,9 @@
             return null
         }
         link.onAnswer(answer, clock.now())
-        learn(content, requestedAt - answer.contentAgeMillis.milliseconds)
+        val sentAt = requestedAt - answer.contentAgeMillis.milliseconds
+        learn(content, sentAt)
+        if (!isHub) context.onSupplied(content.tables, sentAt, link.client)
         return answer
     }
 
@@ -89,8 +91,9 @@
         for (exchanged in content.reports) {
             val view = Address.parseOrNull(exchanged.address)?.let(peers::view) ?: continue
             val contactAt = sentAt - exchanged.ageMillis.milliseconds
+            // Also if a poll gave a newer one, or an entry once polled would be polled for ever.
+            view.exchangedAt = maxOf(view.exchangedAt, contactAt)
             if (!peers.accept(view, exchanged.report, contactAt, isFirstHand = false)) continue
-            view.exchangedAt = clock.now()
             tables.learn(view, exchanged.tables, sentAt)
             onReport(view)
         }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeMessages.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeMessages.kt
@@ -11,6 +11,11 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import org.shallotplank.gateway.store.ChangeBatch
+import org.shallotplank.gateway.store.RowChange
+import org.shallotplank.gateway.store.StoreRevision
+import org.shallotplank.gateway.store.StoreRow
+import org.shallotplank.gateway.store.TableChanges
 
 /** Path of the peer interface at which an entry accepts an [ExchangeRequest]. */
 internal const val EXCHANGE_PATH: String = "/peer/exchange"
@@ -65,9 +70,64 @@
     @ByteString val content: ByteArray
 )
 
-/** The reports that a hub passes on. */
+/** The reports that a hub passes on, and its copies of the store's tables. */
 @Serializable
-internal class ExchangeContent(val reports: List<ExchangedReport>)
+internal class ExchangeContent(
+    val reports: List<ExchangedReport>,
+    val tables: List<SuppliedTable> = emptyList()
+)
+
+/**
+ * The latest changes of a table of the store.
+ *
+ * @property contactAgeMillis time since the hub's last call that the store answered began.
+ * @property returnedAgeMillis time since the store last answered it after an outage; null if never.
+ */
+@Serializable
+internal class SuppliedTable(
+    val name: String,
+    val era: Long,
+    val version: Long,
+    val contactAgeMillis: Long,
+    val returnedAgeMillis: Long? = null,
+    val batches: List<SuppliedBatch> = emptyList()
+) {
+    val revision: StoreRevision get() = StoreRevision(era, version)
+
+    fun changeBatches(): List<ChangeBatch> = batches.map { batch ->
+        val changes = batch.changes.map { row ->
+            val value = row.value
+            if (value == null) {
+                RowChange.Removed(row.key)
+            } else {
+                RowChange.Written(StoreRow(row.key, value, row.version))
+            }
+        }
+        ChangeBatch(
+            from = StoreRevision(era, batch.from),
+            changes = TableChanges(changes, StoreRevision(era, batch.to))
+        )
+    }
+}
+
+/** The changes from version [from] to version [to], in the order in which they were made. */
+@Serializable
+internal class SuppliedBatch(val from: Long, val to: Long, val changes: List<SuppliedRow>)
+
+/** A row that was written, or removed if [value] is null. */
+@Serializable
+internal class SuppliedRow(val key: String, val value: String? = null, val version: Long = 0)
+
+internal fun ChangeBatch.supplied() = SuppliedBatch(
+    from = from.version,
+    to = changes.revision.version,
+    changes = changes.inOrder.map { change ->
+        when (change) {
+            is RowChange.Written -> with(change.row) { SuppliedRow(key, value, version) }
+            is RowChange.Removed -> SuppliedRow(change.key)
+        }
+    }
+)
 
 /** A report that an entry made [ageMillis] before the [ExchangeContent]. */
 @OptIn(ExperimentalSerializationApi::class)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerView.kt
@@ -23,7 +23,7 @@
     /** Whether [report] came from the entry itself rather than from a hub. */
     var isFirstHand: Boolean = false
 
-    /** When a report of it last came by exchange. */
+    /** [lastContactAt] of the latest report that came by exchange. */
     var exchangedAt: Instant = Instant.DISTANT_PAST
 
     /** Until when it is not asked for an exchange, because it failed to answer one. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
@@ -19,7 +19,9 @@
     /** Longest wait of one call for changes. */
     public val wait: Duration,
     /** Shortest time between two calls, which bounds the calls for a table that changes often. */
-    public val minInterval: () -> Duration = { Duration.ZERO }
+    public val minInterval: () -> Duration = { Duration.ZERO },
+    /** Replaces [wait] while it is not null. */
+    public val shorterWait: () -> Duration? = { null }
 )
 
 /**
@@ -46,6 +48,12 @@
     public var returnedAt: Instant = Instant.DISTANT_PAST
         private set
 
+    /** The latest changes, for entries that take them from this one. */
+    public val changeLog: ChangeLog = ChangeLog(clock)
+
+    /** Until when another entry supplies the table, so that the store is not called. */
+    private var suppliedUntil: Instant = Instant.DISTANT_PAST
+
     private var failures = 0
     private var mustReadWhole = true
 
@@ -56,7 +64,7 @@
     public suspend fun run() {
         while (true) {
             try {
-                pollOnce()
+                if (clock.now() < suppliedUntil) delay(SUPPLIED_INTERVAL) else pollOnce()
             } catch (e: CancellationException) {
                 throw e
             } catch (e: Exception) {
@@ -99,13 +107,55 @@
             replace(contents)
         }
     } else {
-        store.changes(settings.table, replica.revision, settings.wait).map { changes ->
+        val wait = settings.shorterWait() ?: settings.wait
+        val since = replica.revision
+        store.changes(settings.table, since, wait).map { changes ->
             wholeReads = 0
-            replica.apply(changes)
+            apply(ChangeBatch(since, changes))
+        }
+    }
+
+    /** Applies [batches], those that another entry has read; returns whether they fit. */
+    public fun apply(batches: List<ChangeBatch>): Boolean {
+        var isChanged = false
+        for (batch in batches) {
+            if (batch.changes.revision <= replica.revision) continue
+            val isFitting =
+                batch.from.era == replica.revision.era && batch.from <= replica.revision
+            if (!isFitting) break
+            if (apply(batch)) isChanged = true
         }
+        if (isChanged) onContact(replica, true)
+        return batches.isEmpty() || replica.revision >= batches.last().changes.revision
+    }
+
+    /**
+     * Records that another entry supplies the table until [until].
+     *
+     * @param contactAt start of a call that the store answered that entry; this copy is as recent.
+     * @param supplierReturnedAt see [returnedAt].
+     */
+    public fun onSupplied(contactAt: Instant, supplierReturnedAt: Instant, until: Instant) {
+        suppliedUntil = until
+        answeredAt = maxOf(answeredAt, contactAt)
+        returnedAt = maxOf(returnedAt, supplierReturnedAt)
+        onRegained()
+    }
+
+    /** Reads from the store again at once, such as after a suspension. */
+    public fun endSupply() {
+        suppliedUntil = Instant.DISTANT_PAST
+    }
+
+    private fun apply(batch: ChangeBatch): Boolean {
+        val previous = replica.revision
+        val isChanged = replica.apply(batch.changes)
+        if (replica.revision > previous) changeLog.add(batch)
+        return isChanged
     }
 
     private fun replace(contents: TableContents): Boolean {
+        if (contents.revision > replica.revision) changeLog.clear()
         if (replica.isRead && contents.revision.era > replica.revision.era) {
             returnedAt = clock.now()
             val record = logRecord(
@@ -130,18 +180,21 @@
     )
 
     private suspend fun onAnswer(startedAt: Instant, isChanged: Boolean) {
-        answeredAt = startedAt
-        if (failures > 0) {
-            log(logRecord(LogEvent.STORE_REGAINED, "table" to settings.table, "after" to failures))
-            failures = 0
-            returnedAt = clock.now()
-        }
+        answeredAt = maxOf(answeredAt, startedAt)
+        onRegained()
         onContact(replica, isChanged)
         val elapsed = clock.now() - startedAt
         val minInterval = settings.minInterval()
         if (elapsed < minInterval) delay(minInterval - elapsed)
     }
 
+    private fun onRegained() {
+        if (failures == 0) return
+        log(logRecord(LogEvent.STORE_REGAINED, "table" to settings.table, "after" to failures))
+        failures = 0
+        returnedAt = clock.now()
+    }
+
     private suspend fun onFailure(failure: StoreFailure) {
         if (failure == StoreFailure.HistoryGone && !mustReadWhole) {
             mustReadWhole = true
@@ -173,5 +226,8 @@
         val MAX_BACKOFF = 0.6.seconds
         const val MAX_DOUBLINGS = 4
         const val BACKOFF_JITTER = 0.5
+
+        /** Time to notice that the table is no longer supplied. */
+        val SUPPLIED_INTERVAL = 50.milliseconds
     }
 }
