Test hubs without the store, and an entry without the exchange

Two more runs of eight processes: both hubs of a zone are cut off from the store and a change still reaches all entries; the first entry of a zone by name is of a build without the exchange and is still seen by all.

--- a/gateway/src/test/kotlin/org/shallotplank/gateway/EntryExchangeTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/EntryExchangeTest.kt
@@ -1,12 +1,25 @@
 package org.shallotplank.gateway
 
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.encodeToByteArray
+import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Nested
+import org.shallotplank.gateway.http.HttpCall
+import org.shallotplank.gateway.http.HttpEndpoint
+import org.shallotplank.gateway.http.HttpReply
+import org.shallotplank.gateway.peer.PeerReport
+import org.shallotplank.gateway.peer.PeerRow
+import org.shallotplank.gateway.peer.Peers
+import org.shallotplank.testsupport.LoopbackAddresses
 
 /**
  * Guards against entries that lose each other, or changes of tables, when their hub ends.
@@ -86,6 +99,60 @@
         }
     }
 
+    @Nested
+    inner class HubsThatAreCutOffFromTheStore {
+        @Test
+        fun `leave their members to the store`() {
+            start()
+            store.cutOff += listOf("e0", "e2")
+            store.put(TestTables.OPERATORS, "a", "out of service")
+            entries.forEach { entry -> await("change") { "200" !in entry.statusOfRequest() } }
+            assertTrue(entries.all { it.isReady() })
+        }
+    }
+
+    @Nested
+    inner class AnEntryOfABuildWithoutTheExchange {
+        private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+
+        @AfterTest
+        fun closeGroup() {
+            group.shutdownGracefully()
+        }
+
+        @Test
+        fun `is seen by all, although its name makes it the first hub of its zone`() {
+            val address = LoopbackAddresses.reserve()
+            val old = HttpEndpoint(group, address) { request ->
+                if (request.path == Peers.REPORT_PATH) {
+                    HttpReply(200, report(), HttpCall.CBOR)
+                } else {
+                    HttpReply(404)
+                }
+            }.apply { start() }
+            val row = PeerRow(1, address.toString(), "10.0.0.2:2", "a")
+            store.put(TestTables.ENTRIES, "entry/a0", Json.encodeToString(row))
+            entries.forEach { it.start() }
+            entries.awaitListed(ENTRIES + 1)
+            old.close()
+        }
+
+        @OptIn(ExperimentalSerializationApi::class)
+        private fun report(): ByteArray = Cbor.encodeToByteArray(
+            PeerReport(
+                instance = "a0",
+                incarnation = 1,
+                publicAddress = "10.0.0.2:2",
+                zone = "a",
+                isReady = true,
+                isStopping = false,
+                tableVersions = emptyMap(),
+                inFlight = emptyList(),
+                crashes = emptyList()
+            )
+        )
+    }
+
     private companion object {
         const val ENTRIES = 8
         const val POLL_MILLIS = 50L
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/SharedTables.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/SharedTables.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -22,6 +23,9 @@
     /** Calls for changes and reads so far, by the client that made them. */
     private val callsByClient = HashMap<String, Int>()
 
+    /** Clients whose calls fail. */
+    val cutOff: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
     private val revision get() = StoreRevision(era = 1, version = history.size.toLong())
 
     @Synchronized
@@ -41,7 +45,7 @@
     fun of(client: String): MetadataStore = object : MetadataStore by this {
         override suspend fun read(table: String): Either<StoreFailure, TableContents> {
             count(client)
-            return this@SharedTables.read(table)
+            return if (client in cutOff) noAnswer else this@SharedTables.read(table)
         }
 
         override suspend fun changes(
@@ -50,7 +54,8 @@
             wait: Duration
         ): Either<StoreFailure, TableChanges> {
             count(client)
-            return this@SharedTables.changes(table, since, wait)
+            val changes = this@SharedTables.changes(table, since, wait)
+            return if (client in cutOff) noAnswer else changes
         }
     }
 
@@ -71,9 +76,6 @@
         return rows
     }
 
-    @Synchronized
-    override fun toString(): String = history.toString()
-
     override suspend fun read(table: String): Either<StoreFailure, TableContents> =
         synchronized(this) { TableContents(rows(table).values.toList(), revision) }.right()
 
@@ -119,6 +121,7 @@
     }
 
     private companion object {
+        val noAnswer = StoreFailure.NoAnswer("cut off").left()
         val POLL_INTERVAL = 10.milliseconds
     }
 }
