Estimate the output and the cost of requests

Cause: requests that look alike can need very different amounts of work, and the decisions of an entry have no figure for it.

Change: the published times of engines are read (all optional; values of another form count as not published, since only estimates use them), and the sizes that callers state in Token-Counts and Length-Hint. Nothing decides by them yet.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
@@ -9,6 +9,8 @@
 import org.shallotplank.core.RequestId
 import org.shallotplank.core.ServiceName
 import org.shallotplank.core.quarantine.PromptPart
+import org.shallotplank.core.work.RequestCost
+import org.shallotplank.core.work.RequestSize
 
 /**
  * A request that was read completely, as the reducer sees it.
@@ -17,6 +19,7 @@
  * @property timeLeft time for which the caller waits, null if it did not state one.
  * @property bodySha256 digest of method, path and body, under which crashes are counted.
  * @property sharedParts parts of its prompt that other requests may have in common with it.
+ * @property size what the caller stated about the tokens of its prompt and its answer.
  */
 public data class GatewayRequest(
     val id: RequestId,
@@ -27,7 +30,8 @@
     val timeLeft: Duration?,
     val bodySha256: String,
     val arrivedAt: Instant,
-    val sharedParts: PersistentSet<PromptPart> = persistentSetOf()
+    val sharedParts: PersistentSet<PromptPart> = persistentSetOf(),
+    val size: RequestSize = RequestSize()
 )
 
 /** A request that the entry accepted and has not yet answered. */
@@ -50,7 +54,9 @@
     /** Whether an upstream may have run the request. */
     val mayHaveRun: Boolean = false,
     /** Whether the answer to the caller has begun. */
-    val isAnswerBegun: Boolean = false
+    val isAnswerBegun: Boolean = false,
+    /** Stream events received from attempts before the open one. */
+    val earlierEvents: Int = 0
 )
 
 /** Phase of a [GatewayCall]. */
@@ -66,7 +72,11 @@
         /** When the answer to the caller began with this attempt, null if it has not. */
         val begunAt: Instant? = null,
         /** Whether the answer has continued long enough to clear the parts of the prompt. */
-        val isProven: Boolean = false
+        val isProven: Boolean = false,
+        /** Expected work of the attempt when it was sent, null if nothing was known of it. */
+        val cost: RequestCost? = null,
+        /** Stream events received from this attempt, as last counted. */
+        val events: Int = 0
     ) : GatewayPhase
 }
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/RouteTable.kt
@@ -105,11 +105,27 @@
  *
  * @property eventStride token steps per event of a stream, and so tokens per event.
  * @property stepTime duration of a step without load.
+ * @property timePerRequest time that each request that generates output adds to a step.
+ * @property timePerThousandTokens time that each 1,000 tokens of context add to a step.
+ * @property promptTokensPerSecond prompt tokens that an engine reads in a second.
+ * @property pairsPerMillion work of reading a prompt that grows with pairs of its tokens.
+ * @property chunkTokens maximum number of prompt tokens that an engine reads in one step.
+ * @property memoryTokens tokens of prompts and answers that fit into the memory of an engine.
+ * @property usualPromptTokens mean tokens of a prompt.
+ * @property usualAnswerTokens mean tokens of an answer.
  */
 public data class EngineProfile(
     val eventStride: Int,
     val stepTime: Duration,
-    val placement: PlacementProfile? = null
+    val placement: PlacementProfile? = null,
+    val timePerRequest: Duration? = null,
+    val timePerThousandTokens: Duration? = null,
+    val promptTokensPerSecond: Double? = null,
+    val pairsPerMillion: Double? = null,
+    val chunkTokens: Int? = null,
+    val memoryTokens: Int? = null,
+    val usualPromptTokens: Int? = null,
+    val usualAnswerTokens: Int? = null
 )
 
 /** Dimensions of the expert placement in the rank groups of a service. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -28,6 +28,7 @@
 import org.shallotplank.gateway.caller.CallerListener
 import org.shallotplank.gateway.caller.CallerMessage
 import org.shallotplank.gateway.caller.CallerServer
+import org.shallotplank.gateway.caller.requestSizeOf
 import org.shallotplank.gateway.caller.sharedPartsOf
 import org.shallotplank.gateway.upstream.AttemptContext
 import org.shallotplank.gateway.upstream.UpstreamAttempt
@@ -167,7 +168,11 @@
                 ?.milliseconds,
             bodySha256 = digestOf(message),
             arrivedAt = now,
-            sharedParts = sharedPartsOf(message.headers.getAll(headers.promptParts))
+            sharedParts = sharedPartsOf(message.headers.getAll(headers.promptParts)),
+            size = requestSizeOf(
+                tokenCounts = message.headers[headers.tokenCounts],
+                lengthHint = message.headers[headers.lengthHint]
+            )
         )
         emit(GatewayEvent.Arrived(request))
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/HeaderNames.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/HeaderNames.kt
@@ -17,6 +17,8 @@
  * @property lastEventId id of the last event of a stream that the caller received.
  * @property requestRate requests per second that an upstream accepts from all entries together.
  * @property promptParts parts of the prompt in order, as comma-separated `id:tokens` entries.
+ * @property tokenCounts tokens of the prompt and the maximum of the answer, as `PROMPT,MAX_OUTPUT`.
+ * @property lengthHint the caller's estimate of the tokens of the answer.
  */
 public data class HeaderNames(
     val attemptId: String,
@@ -32,5 +34,7 @@
     val signature: String,
     val lastEventId: String,
     val promptParts: String,
-    val requestRate: String
+    val requestRate: String,
+    val tokenCounts: String,
+    val lengthHint: String
 )
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayFixture.kt
@@ -48,7 +48,9 @@
     signature = "X-Stamp",
     lastEventId = "Last-Event-Id",
     promptParts = "X-Prompt",
-    requestRate = "X-Rate"
+    requestRate = "X-Rate",
+    tokenCounts = "X-Tokens",
+    lengthHint = "X-Length-Hint"
 )
 
 /** The exchanges of one gateway entry on loopback, in front of scripted upstreams. */
