Choose upstreams by requests and unread prompts

Cause: all ranks of a group wait for the slowest in each iteration, and an entry that counts requests sends two prompts to one rank while others read none. It also knows nothing of an engine's memory.

Change: where the lengths of a model service's answers are dispersed (0.79 or more over all entries, until below 0.74), or by the setting work_based_routing, an unread prompt counts as the generating requests that lengthen an iteration as much, and an upstream without memory for the request is left out unless all are. Otherwise the choice and its random draws are those of before. Answers report their number of events, from which the lengths and the error of estimates are learned. SP5003 gets expected_ms, work_left_ms and by_work, SP5005 events; three gauges show the error and the services in effect.

--- a/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
@@ -6,6 +6,7 @@
 import org.shallotplank.core.Address
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.ZoneName
+import org.shallotplank.core.work.WorkRouting
 
 /**
  * Settings of one gateway entry, which forwards requests by host and path directly to upstreams.
@@ -44,5 +45,7 @@
     /** Retries per window beyond [retryRatio] that all entries together may make. */
     val retrySlack: Int,
     /** Whether ranks refuse orders with a lower fencing number than one they have seen. */
-    val areFencesChecked: Boolean = true
+    val areFencesChecked: Boolean = true,
+    /** Whether upstreams are chosen by the work that they have left. */
+    val workBasedRouting: WorkRouting = WorkRouting.AUTO
 )
--- a/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.raise.nullable
 import kotlinx.collections.immutable.persistentListOf
+import org.shallotplank.core.work.WorkRouting
 
 private const val HOUR_SECONDS = 3_600
 private const val PORT_MAX = 65_535
@@ -91,6 +92,15 @@
             "they saw. Where they do not, only the holder of a group's lease keeps it.",
         default = true
     )
+    val workBasedRouting = KeySpec(
+        name = "work_based_routing",
+        rule = choice<WorkRouting>(),
+        doc =
+        "Whether upstreams are chosen by the work that they have left instead of the number " +
+            "of their requests. With `auto`, for model services whose answers differ widely in " +
+            "length.",
+        default = WorkRouting.AUTO
+    )
     val table = TableSpec(
         name = "",
         shape = TableShape.ROOT,
@@ -112,7 +122,8 @@
             retryRatio,
             retryWindow,
             retrySlack,
-            areFencesChecked
+            areFencesChecked,
+            workBasedRouting
         )
     )
 }
@@ -145,6 +156,7 @@
     val retryWindow = read(GatewayKeys.retryWindow)
     val retrySlack = read(GatewayKeys.retrySlack)
     val areFencesChecked = read(GatewayKeys.areFencesChecked)
+    val workBasedRouting = read(GatewayKeys.workBasedRouting)
     return nullable {
         GatewayEntrySettings(
             instanceId = instanceId.bind(),
@@ -163,7 +175,8 @@
             retryRatio = retryRatio.bind(),
             retryWindow = retryWindow.bind(),
             retrySlack = retrySlack.bind(),
-            areFencesChecked = areFencesChecked.bind()
+            areFencesChecked = areFencesChecked.bind(),
+            workBasedRouting = workBasedRouting.bind()
         )
     }
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayCall.kt
@@ -55,6 +55,8 @@
     val mayHaveRun: Boolean = false,
     /** Whether the answer to the caller has begun. */
     val isAnswerBegun: Boolean = false,
+    /** Expected work when it was last sent; null before, or if too little was known of it. */
+    val cost: RequestCost? = null,
     /** Stream events received from attempts before the open one. */
     val earlierEvents: Int = 0
 )
@@ -73,8 +75,6 @@
         val begunAt: Instant? = null,
         /** Whether the answer has continued long enough to clear the parts of the prompt. */
         val isProven: Boolean = false,
-        /** Expected work of the attempt when it was sent, null if nothing was known of it. */
-        val cost: RequestCost? = null,
         /** Stream events received from this attempt, as last counted. */
         val events: Int = 0
     ) : GatewayPhase
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -82,15 +82,16 @@
 }
 
 /**
- * Sends [call] to the eligible upstream with the lowest score.
+ * Sends [admitted] to the eligible upstream with the lowest score.
  *
  * If no upstream is eligible, ends the call with [lastReason].
  */
 internal fun GatewayState.dispatch(
-    call: GatewayCall,
+    admitted: GatewayCall,
     context: GatewayContext,
     lastReason: GatewayRefusal = GatewayRefusal.NO_UPSTREAM
 ): GatewayStep {
+    val call = admitted.copy(cost = expectedCost(admitted))
     if (isQuarantined(call, context.now)) {
         return endWithoutAnswer(call, GatewayRefusal.QUARANTINED, context)
     }
@@ -125,6 +126,9 @@
         "outstanding" to chosen.outstanding,
         "others_outstanding" to chosen.othersOutstanding,
         "slots" to chosen.record.slots,
+        "expected_ms" to call.cost?.total?.inWholeMilliseconds,
+        "work_left_ms" to loadAt(chosen, call, context.now).timeLeft.inWholeMilliseconds,
+        "by_work" to usesWork(call.service),
         "time_left_ms" to send.timeLeft.inWholeMilliseconds,
         "configuration" to routesInForce.version
     )
@@ -139,7 +143,7 @@
     context: GatewayContext
 ): GatewayUpstream? {
     val rate = service(call.service)?.coldRatePerSecond
-    return upstreamsOf(call.service)
+    val eligible = upstreamsOf(call.service)
         .filter {
             isInService(it) &&
                 it.mayReceiveAttempt(context.now) &&
@@ -147,6 +151,9 @@
                 it.hasRateLeft(rate?.let { all -> rateShareOf(all, it) }, context.now) &&
                 requestsLeft(it, context) != 0
         }
+    // Expected memory is an estimate, so it excludes no upstream if it would exclude all of them.
+    return eligible.filter { hasMemoryFor(it, call, context.now) }
+        .ifEmpty { eligible }
         .minByOrNull {
             settings.policies.upstreamCost(this, it, call, context.now) +
                 context.random.nextDouble() * TIE_BREAK
@@ -159,13 +166,20 @@
     upstream: GatewayUpstream,
     call: GatewayCall,
     now: Instant
+): Double = upstream.utilization() + state.placeCost(upstream, call, now)
+
+/** Cost by zone, ownership and the need for a new connection, and of an upstream without slots. */
+internal fun GatewayState.placeCost(
+    upstream: GatewayUpstream,
+    call: GatewayCall,
+    now: Instant
 ): Double {
-    val distance = if (upstream.record.zone == state.settings.zone) 0.0 else CROSS_ZONE_COST
+    val distance = if (upstream.record.zone == settings.zone) 0.0 else CROSS_ZONE_COST
     val full = if (now < upstream.fullUntil) FULL_COST else 0.0
     val notPreferred = if (upstream.ownership?.isPreferred == false) NOT_PREFERRED_COST else 0.0
     val hasKeptConnection = call.route.isIdempotent && now < upstream.connectionKeptUntil
     val connecting = if (hasKeptConnection) 0.0 else NEW_CONNECTION_COST
-    return upstream.utilization() + distance + full + notPreferred + connecting
+    return distance + full + notPreferred + connecting
 }
 
 /**
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -13,6 +13,7 @@
 import org.shallotplank.core.ZoneName
 import org.shallotplank.core.quarantine.CrashRecord
 import org.shallotplank.core.quarantine.PromptCrash
+import org.shallotplank.core.work.ReportedWork
 
 /** Events that the reducer of a gateway entry handles. */
 public sealed interface GatewayEvent {
@@ -61,9 +62,18 @@
         /** For streams, time from sending the attempt to its first event. */
         val firstEvent: Duration? = null,
         /** Longest time between two consecutive events of the attempt. */
-        val longestPause: Duration? = null
+        val longestPause: Duration? = null,
+        /** Number of events of the attempt, 0 if the answer is no stream. */
+        val events: Int = 0
     ) : GatewayEvent
 
+    /** Events that open attempts have received; attempts without new ones may be missing. */
+    public data class StreamsProgressed(val progress: PersistentMap<RequestId, AttemptProgress>) :
+        GatewayEvent
+
+    /** Another entry reported the work of its requests. */
+    public data class WorkLearned(val entry: InstanceId, val work: ReportedWork) : GatewayEvent
+
     /** The attempt ended without a complete answer and may have run. */
     public data class AttemptLost(
         val requestId: RequestId,
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -22,7 +22,8 @@
     /** Returns the call queued again, without this attempt and with its upstream excluded. */
     fun callWithoutAttempt(): GatewayCall = call.copy(
         phase = GatewayPhase.Queued,
-        excluded = call.excluded.add(sent.upstream.id)
+        excluded = call.excluded.add(sent.upstream.id),
+        earlierEvents = call.earlierEvents + sent.events
     )
 }
 
@@ -122,9 +123,11 @@
         "waited_ms" to (open.sent.sentAt - call.request.arrivedAt).inWholeMilliseconds,
         "first_event_ms" to event.firstEvent?.inWholeMilliseconds,
         "longest_pause_ms" to event.longestPause?.inWholeMilliseconds,
+        "events" to event.events,
         "age_ms" to (context.now - call.request.arrivedAt).inWholeMilliseconds
     )
     return update(open.sent.upstream) { it.answerCompleted(context.now) }
+        .learnAnswer(call, open.sent, event, context.now)
         .logged(record)
         .then { it.withAnswered(call, event.status, context.now) }
         .then { it.release(call, context) }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayPolicies.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayPolicies.kt
@@ -20,7 +20,7 @@
     public val maxRunning: (state: GatewayState, service: ServiceName, slots: Int) -> Int =
         { state, service, slots -> state.maxRunningWithinPause(service, slots) },
     public val maxWait: (call: GatewayCall) -> Duration = ::usualMaxWait,
-    public val upstreamCost: UpstreamCost = ::defaultUpstreamCost
+    public val upstreamCost: UpstreamCost = ::usualUpstreamCost
 )
 
 /** Estimated cost of sending [GatewayCall] to [GatewayUpstream] at a point in time. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
@@ -34,6 +34,8 @@
         is GatewayEvent.EvacuationsChanged -> onEvacuationsChanged(event.zones, context)
         is GatewayEvent.PeersReported -> onPeersReported(event, context)
         is GatewayEvent.PausesObserved -> onPausesObserved(event.pauses, context)
+        is GatewayEvent.StreamsProgressed -> Step(onStreamsProgressed(event.progress))
+        is GatewayEvent.WorkLearned -> Step(copy(work = work.withReport(event.entry, event.work)))
         is GatewayEvent.CrashLearned -> onCrashLearned(event.record, context)
         is GatewayEvent.PromptCrashesLearned -> onPromptCrashesLearned(event.crashes, context)
         is GatewayEvent.ReadinessChanged ->
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewaySettings.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration.Companion.seconds
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.ZoneName
+import org.shallotplank.core.work.WorkRouting
 
 /**
  * Settings of one gateway entry.
@@ -14,6 +15,7 @@
  * @property retrySlack retries per window beyond [retryRatio] that all entries together may make.
  * @property reregistrationGrace time that an upstream whose row expired during an outage of the
  *   store has to register again.
+ * @property workRouting whether upstreams are chosen by the work that they have left.
  * @property policies the decisions that the entry uses.
  */
 public data class GatewaySettings(
@@ -23,5 +25,6 @@
     val retryWindow: Duration,
     val retrySlack: Int,
     val reregistrationGrace: Duration = 2.seconds,
+    val workRouting: WorkRouting = WorkRouting.AUTO,
     val policies: GatewayPolicies = GatewayPolicies()
 )
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
@@ -1,5 +1,6 @@
 package org.shallotplank.core.gateway
 
+import kotlin.LazyThreadSafetyMode.NONE
 import kotlin.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
@@ -16,6 +17,7 @@
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.quarantine.PartQuarantine
 import org.shallotplank.core.quarantine.Quarantine
+import org.shallotplank.core.work.WorkEstimates
 
 /** Next state of a gateway entry and the side effects that it requests. */
 public typealias GatewayStep = Step<GatewayState, GatewayEffect>
@@ -33,6 +35,7 @@
  * @property servingEntries the entries that serve now.
  * @property notices notices that upstreams sent with their answers. Their number is bounded. A
  *   notice is kept while its upstream is not listed, because the upstream's row may reappear.
+ * @property work what was learned about the work of requests.
  */
 public data class GatewayState(
     val settings: GatewaySettings,
@@ -52,8 +55,15 @@
     val entryCount: Int = 1,
     val entries: PersistentSet<EntryLocation> = persistentSetOf(),
     val servingEntries: PersistentSet<InstanceId> = persistentSetOf(),
-    val notices: PersistentMap<UpstreamKey, ObservedNotice> = persistentMapOf()
+    val notices: PersistentMap<UpstreamKey, ObservedNotice> = persistentMapOf(),
+    val work: WorkEstimates = WorkEstimates()
 ) {
+    /** Calls with an open attempt, by upstream. */
+    internal val sentCalls: Map<UpstreamKey, List<GatewayCall>> by lazy(NONE) {
+        calls.values.filter { it.phase is GatewayPhase.Sent }
+            .groupBy { (it.phase as GatewayPhase.Sent).upstream }
+    }
+
     /** Whether the process was asked to stop. */
     public val isStopping: Boolean get() = plannedStop != null
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -11,6 +11,7 @@
 import org.shallotplank.config.GatewayEntrySettings
 import org.shallotplank.core.RequestId
 import org.shallotplank.core.ServiceName
+import org.shallotplank.core.gateway.AttemptProgress
 import org.shallotplank.core.gateway.CallerLimits
 import org.shallotplank.core.gateway.ConnectFailure
 import org.shallotplank.core.gateway.GatewayEffect
@@ -19,11 +20,15 @@
 import org.shallotplank.core.gateway.GatewayState
 import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.core.gateway.acceptsRequests
+import org.shallotplank.core.gateway.needsProgress
 import org.shallotplank.core.gateway.on
+import org.shallotplank.core.gateway.usesWork
+import org.shallotplank.core.gateway.workToReport
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.core.quarantine.CrashRecord
+import org.shallotplank.core.work.ReportedWork
 import org.shallotplank.gateway.caller.CallerConnection
 import org.shallotplank.gateway.caller.CallerListener
 import org.shallotplank.gateway.caller.CallerMessage
@@ -90,6 +95,11 @@
         metrics.gauge(GatewayMetric.UPSTREAM_CONNECTIONS) { pool.openCount }
         metrics.gauge(GatewayMetric.UPSTREAMS) { state.upstreams.size }
         metrics.gauge(GatewayMetric.CONFIGURATION_VERSION) { state.routes?.version?.value ?: 0 }
+        metrics.gauge(GatewayMetric.ESTIMATE_FACTOR) { state.work.errors.typicalFactor }
+        metrics.gauge(GatewayMetric.ESTIMATE_BIAS) { state.work.errors.bias }
+        metrics.gauge(GatewayMetric.SERVICES_BY_WORK) {
+            state.routes?.services?.keys?.count(state::usesWork) ?: 0
+        }
         metrics.gauge(GatewayMetric.READY) { if (state.isReady && !state.isStopping) 1 else 0 }
     }
 
@@ -124,6 +134,7 @@
                 emit(GatewayEvent.AttemptSilent(exchange.id, attempt.attemptNumber, silence))
             }
         }
+        if (state.needsProgress) reportProgress()
         if (now - pausesReportedAt >= PAUSE_REPORT_INTERVAL) reportPauses(now)
         emit(GatewayEvent.Tick)
         if (now - sweptAt >= SWEEP_INTERVAL) {
@@ -133,6 +144,18 @@
         }
     }
 
+    /** What this entry reports to the others of the work of its requests. */
+    fun workToReport(): ReportedWork? = state.workToReport(clock.now())
+
+    private fun reportProgress() {
+        val received = open.values.mapNotNull { exchange ->
+            val attempt = exchange.attempt?.takeIf { it.isRunning && it.eventCount > 0 }
+            attempt?.let { exchange.id to AttemptProgress(it.attemptNumber, it.eventCount) }
+        }
+        if (received.isEmpty()) return
+        emit(GatewayEvent.StreamsProgressed(received.toMap().toPersistentMap()))
+    }
+
     private fun recordPause(upstream: UpstreamKey, pause: Duration) {
         val service = state.upstreams[upstream]?.record?.service ?: return
         pausesByService.getOrPut(service) { mutableListOf() } += pause
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
@@ -73,5 +73,17 @@
         "Configuration version in force"
     ),
     STORE_AGE("shallotplank.gateway.store.age.seconds", "Time since the store last answered"),
+    ESTIMATE_FACTOR(
+        "shallotplank.gateway.work.estimate.factor",
+        "Typical factor between expected and actual tokens of answers; 1 is exact"
+    ),
+    ESTIMATE_BIAS(
+        "shallotplank.gateway.work.estimate.bias",
+        "Actual over expected tokens of answers; above 1, estimates are too low"
+    ),
+    SERVICES_BY_WORK(
+        "shallotplank.gateway.work.services",
+        "Services whose upstreams are chosen by the work that they have left"
+    ),
     READY("shallotplank.gateway.ready", "1 while the entry is ready, else 0")
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ReducerSettings.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ReducerSettings.kt
@@ -9,5 +9,6 @@
     zone = zone,
     retryRatio = retryRatio,
     retryWindow = retryWindow,
-    retrySlack = retrySlack
+    retrySlack = retrySlack,
+    workRouting = workBasedRouting
 )
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/EventSplitter.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/EventSplitter.kt
@@ -20,10 +20,13 @@
     var lastEventId: String? = null
         private set
 
-    /** Whether the events that [append] last returned had an id or data, not just comments. */
-    var hadContent: Boolean = false
+    /** Number of events that [append] last returned with an id or data, not just comments. */
+    var contentEvents: Int = 0
         private set
 
+    /** Whether the events that [append] last returned had an id or data, not just comments. */
+    val hadContent: Boolean get() = contentEvents > 0
+
     /** Appends [bytes] and returns all events that are now complete, null if there are none. */
     fun append(bytes: ByteBuf): ByteBuf? {
         val added = bytes.readableBytes()
@@ -69,11 +72,26 @@
 
     private fun noteContent(end: Int) {
         val lines = String(buffer, 0, end, Charsets.UTF_8).lineSequence()
-        hadContent = lines.any { it.startsWith(ID_FIELD) || it.startsWith(DATA_FIELD) }
+        contentEvents = countContentEvents(lines)
         lines.lastOrNull { it.startsWith(ID_FIELD) }
             ?.let { lastEventId = it.removePrefix(ID_FIELD).trim() }
     }
 
+    private fun countContentEvents(lines: Sequence<String>): Int {
+        var count = 0
+        var isCounted = false
+        for (line in lines) {
+            when {
+                line.isEmpty() -> isCounted = false
+                !isCounted && (line.startsWith(ID_FIELD) || line.startsWith(DATA_FIELD)) -> {
+                    isCounted = true
+                    count++
+                }
+            }
+        }
+        return count
+    }
+
     private companion object {
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -64,6 +64,10 @@
     private val startedAt: Instant = context.clock.now()
     private var firstEvent: Duration? = null
     private var longestPause: Duration? = null
+
+    /** Number of events that arrived. */
+    var eventCount = 0
+        private set
     private var lastEventAt: Instant? = null
     private var isOver = false
     private var lastProgressAt: Instant = context.clock.now()
@@ -256,6 +260,7 @@
         if (whole == null) return
         if (events.hadContent) {
             lastProgressAt = context.clock.now()
+            eventCount += events.contentEvents
             recordPause(lastProgressAt)
         }
         begin(response)
@@ -331,7 +336,14 @@
                 exchange.connection.end()
                 endAndReleaseConnection(response)
                 context.emit(
-                    GatewayEvent.AnswerEnded(exchange.id, number, status, firstEvent, longestPause)
+                    GatewayEvent.AnswerEnded(
+                        requestId = exchange.id,
+                        attempt = number,
+                        status = status,
+                        firstEvent = firstEvent,
+                        longestPause = longestPause,
+                        events = eventCount
+                    )
                 )
             }
         }
