Exchange lengths and work left among entries

Cause: an entry of a large deployment completes two answers a second, too few to measure their dispersion, and it does not know how much work the requests of the others have left.

Change: the peer table "work" has a row per entry, with the moments of its lengths and the work of its own requests by upstream, and their age.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -49,6 +49,7 @@
 import org.shallotplank.gateway.peer.revisionOf
 import org.shallotplank.gateway.peer.sendDelegated
 import org.shallotplank.gateway.peer.upstreamRateTable
+import org.shallotplank.gateway.peer.workTable
 import org.shallotplank.gateway.store.FollowSettings
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.StoreRevision
@@ -112,7 +113,8 @@
                 rates = { exchanges.state.observedRates },
                 onLearned = { exchanges.emit(GatewayEvent.UpstreamRatesLearned(it)) },
                 log = log
-            )
+            ),
+            workTable(settings.instanceId, clock, exchanges::workToReport, exchanges::emit, log)
         )
     )
 
