Compare ways of choosing upstreams by work

Cause: whether counting, work left or unread prompts should decide had not been compared on loads with many entries and dispersed answers, and the model of the entries lacked hints, published times and reports of work.

--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionLoad.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionLoad.kt
@@ -14,6 +14,8 @@
     val zoneDelay: Duration,
     val callerDelay: Duration,
     val bounds: RetryBounds,
+    /** Interval of reports if entries exchange them otherwise than by polling each other. */
+    val exchangeInterval: Duration?,
     val zones: List<LoadZone>,
     val services: List<LoadService>,
     val kinds: List<LoadKind>,
@@ -22,9 +24,9 @@
     val entryCount: Int get() = zones.sumOf { it.entries }
 
     /** Interval at which an entry reads the report of another one; it grows with their number. */
-    val reportInterval: Duration get() = (40.milliseconds * (entryCount - 1)).coerceAtLeast(
-        250.milliseconds
-    )
+    val reportInterval: Duration
+        get() = exchangeInterval
+            ?: (40.milliseconds * (entryCount - 1)).coerceAtLeast(250.milliseconds)
 }
 
 /** Retry budget of the deployment. */
@@ -70,7 +72,10 @@
     val jumpImbalance: Double,
     /** Time after a jump until the map fits again. */
     val adaptTime: Duration,
-    val formTime: Duration
+    val formTime: Duration,
+    val memoryTokens: Int?,
+    val usualPromptTokens: Int?,
+    val usualAnswerTokens: Int?
 )
 
 /** Requests of one kind. */
@@ -90,6 +95,8 @@
     /** Prompt tokens and events of a stream. */
     val prompt: SizeDistribution,
     val events: SizeDistribution,
+    /** Standard deviation of the logarithm of a caller's hint over the answer; null without. */
+    val hintError: Double?,
     /** Work of a request to a plain service. */
     val workMillis: SizeDistribution,
     /** Share of the requests that an upstream answers with its own failure. */
--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionSimulation.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionSimulation.kt
@@ -21,7 +21,6 @@
 import org.shallotplank.core.gateway.EngineProfile
 import org.shallotplank.core.gateway.EntryLocation
 import org.shallotplank.core.gateway.GatewayEvent
-import org.shallotplank.core.gateway.GatewayPolicies
 import org.shallotplank.core.gateway.GatewaySettings
 import org.shallotplank.core.gateway.ListedUpstream
 import org.shallotplank.core.gateway.RequestKind
@@ -31,11 +30,13 @@
 import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.core.gateway.UpstreamRecord
 import org.shallotplank.core.gateway.UpstreamService
+import org.shallotplank.core.work.RequestSize
 
 /** Random sizes of one request, drawn once so that its retries are the same work. */
 internal class RequestDraw(
     val promptTokens: Double,
     private val events: Int,
+    val size: RequestSize,
     private val workTime: Duration,
     private val failureRandom: Random
 ) {
@@ -53,11 +54,7 @@
  *
  * The traffic depends on [seed] alone, so that two policies meet the same requests.
  */
-internal class DecisionSimulation(
-    private val load: DecisionLoad,
-    policies: GatewayPolicies,
-    seed: Long
-) {
+internal class DecisionSimulation(private val load: DecisionLoad, way: DecisionWay, seed: Long) {
     private val clock = VirtualClock(start = START)
     private val trafficRandom = Random(seed)
     private val policyRandom = Random(seed + 1)
@@ -70,7 +67,7 @@
     }.associateBy { UpstreamKey(it.listed.record.id, it.listed.record.incarnation) }
     private val listed = sites.values.map { it.listed }.toPersistentList()
     private val entries = load.zones.flatMapIndexed { zone, entry ->
-        List(entry.entries) { entryOf(zone, it, policies) }
+        List(entry.entries) { entryOf(zone, it, way) }
     }
     private val locations = entries.map { it.location }.toPersistentSet()
     private val measurements = ServiceMeasurements(load)
@@ -107,7 +104,7 @@
         }
     }
 
-    private fun entryOf(zone: Int, index: Int, policies: GatewayPolicies): SimulatedEntry {
+    private fun entryOf(zone: Int, index: Int, way: DecisionWay): SimulatedEntry {
         val name = ZoneName(load.zones[zone].name)
         val instance = InstanceId("entry-${name.value}-$index")
         return SimulatedEntry(
@@ -119,7 +116,8 @@
                 retryRatio = load.bounds.ratio,
                 retryWindow = load.bounds.window,
                 retrySlack = load.bounds.slack,
-                policies = policies
+                workRouting = way.workRouting,
+                policies = way.policies
             ),
             routes = routes,
             sites = sites,
@@ -134,11 +132,23 @@
         routes = load.kinds.map(::routeOf).toPersistentList(),
         services = load.services.associate { service ->
             val name = ServiceName(service.name)
-            val engine = service.engine?.let { EngineProfile(it.stride, it.step) }
+            val engine = service.engine?.let(::profileOf)
             name to UpstreamService(name, service.connections, service.coldPerSecond, engine)
         }.toPersistentMap()
     )
 
+    private fun profileOf(engine: LoadEngine) = EngineProfile(
+        eventStride = engine.stride,
+        stepTime = engine.step,
+        timePerRequest = engine.stepPerRequest,
+        timePerThousandTokens = engine.stepPerThousandTokens,
+        promptTokensPerSecond = engine.promptTokensPerMilli * MILLIS_PER_SECOND,
+        chunkTokens = engine.chunkTokens,
+        memoryTokens = engine.memoryTokens,
+        usualPromptTokens = engine.usualPromptTokens,
+        usualAnswerTokens = engine.usualAnswerTokens
+    )
+
     private fun routeOf(kind: LoadKind) = Route(
         name = kind.name,
         host = SimulatedEntry.HOST,
@@ -156,6 +166,11 @@
         clock.after(load.reportInterval) { reportTo(entry) }
         if (!entry.isUp) return
         val others = entries.filter { it !== entry && it.isUp }
+        others.forEach { other ->
+            other.workToReport(clock.now)?.let {
+                entry.onWork(GatewayEvent.WorkLearned(other.location.instance, it))
+            }
+        }
         val inFlight = HashMap<UpstreamKey, Int>()
         others.forEach { other ->
             other.inFlight.forEach { (key, n) -> inFlight.merge(key, n, Int::plus) }
@@ -175,9 +190,12 @@
             load.zones[zone].trafficAt(clock.elapsed) * burstFactor()
         clock.after(-ln(1 - trafficRandom.nextDouble()).seconds / mean) {
             if (clock.elapsed > load.length) return@after
+            val promptTokens = draw(kind.prompt)
+            val events = draw(kind.events).toInt().coerceAtLeast(1)
             val draw = RequestDraw(
-                promptTokens = draw(kind.prompt),
-                events = draw(kind.events).toInt().coerceAtLeast(1),
+                promptTokens = promptTokens,
+                events = events,
+                size = sizeOf(kind, promptTokens, events),
                 workTime = draw(kind.workMillis).milliseconds,
                 failureRandom = Random(trafficRandom.nextLong())
             )
@@ -188,6 +206,18 @@
         }
     }
 
+    /** What the caller states: the prompt, and a hint that is right at the median. */
+    private fun sizeOf(kind: LoadKind, promptTokens: Double, events: Int): RequestSize {
+        val error = kind.hintError ?: return RequestSize()
+        val stride = load.services.first { it.name == kind.service }.engine?.stride ?: 1
+        val hint = events * stride * exp(error * trafficRandom.asJavaRandom().nextGaussian())
+        return RequestSize(
+            promptTokens = promptTokens.toInt(),
+            maxOutputTokens = (kind.events.max * stride).toInt(),
+            hintTokens = hint.toInt().coerceAtLeast(1)
+        )
+    }
+
     private fun burstFactor(): Double = load.faults
         .filter { it.kind == LoadFaultKind.BURST && clock.elapsed in it.at..it.at + it.length }
         .fold(1.0) { factor, fault -> factor * fault.factor }
@@ -314,5 +344,6 @@
         val FAILURE_DELAY = 50.milliseconds
         const val FIRST_FAILURE_STATUS = 500
         const val STATUS_UNAVAILABLE = 503
+        const val MILLIS_PER_SECOND = 1_000
     }
 }
--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/LoadFileReader.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/LoadFileReader.kt
@@ -25,6 +25,7 @@
             window = root.seconds("retry_window_seconds"),
             slack = root.number("retry_slack").toInt()
         ),
+        exchangeInterval = root.numberOrNull("exchange_seconds")?.seconds,
         zones = root.tables("zones").map(::zoneOf),
         services = root.tables("services").map(::serviceOf),
         kinds = root.tables("kinds").map(::kindOf),
@@ -63,7 +64,10 @@
     usualImbalance = table.number("usual_imbalance"),
     jumpImbalance = table.number("jump_imbalance"),
     adaptTime = table.seconds("adapt_seconds"),
-    formTime = table.seconds("form_seconds", default = 1.0)
+    formTime = table.seconds("form_seconds", default = 1.0),
+    memoryTokens = table.numberOrNull("memory_tokens")?.toInt(),
+    usualPromptTokens = table.numberOrNull("usual_prompt_tokens")?.toInt(),
+    usualAnswerTokens = table.numberOrNull("usual_answer_tokens")?.toInt()
 )
 
 private fun kindOf(table: LoadTable) = LoadKind(
@@ -81,6 +85,7 @@
     lateShare = table.number("late_share"),
     prompt = table.size("prompt_tokens"),
     events = table.size("events"),
+    hintError = table.numberOrNull("hint_error"),
     workMillis = table.size("work_millis"),
     failedShare = table.number("failed_share", default = 0.0)
 )
--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/ServiceMeasurements.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/ServiceMeasurements.kt
@@ -69,12 +69,18 @@
             .filterValues { it.size >= MIN_WINDOW_REQUESTS }
             .values.map(::share).sorted()
         put("worth, worst two windows", windows.take(2).average())
+        val served = results.filter { it.firstEvent != null && it.endedAfter != null }
+        put("first event, ms", meanMillis(served.mapNotNull { it.firstEvent }))
+        put("longest pause, ms", meanMillis(served.map { it.longestPause }))
         put("unserved share", results.count { it.endedAfter == null }.toDouble() / results.size)
         put("refusals a request", results.sumOf { it.refusals }.toDouble() / results.size)
         put("rejected attempts a request", rejectedAttempts.toDouble() / results.size)
         put("connections a request", connectionsOpened.toDouble() / results.size)
     }
 
+    private fun meanMillis(times: List<Duration>): Double =
+        if (times.isEmpty()) 0.0 else times.sumOf { it.inWholeMicroseconds } / 1e3 / times.size
+
     private fun share(part: List<RequestResult>): Double =
         if (part.isEmpty()) 1.0 else part.sumOf { it.earned } / part.sumOf { it.owed }
 
--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/SimulatedEntry.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/SimulatedEntry.kt
@@ -10,6 +10,7 @@
 import org.shallotplank.core.RequestId
 import org.shallotplank.core.ServiceName
 import org.shallotplank.core.gateway.AttemptFailure
+import org.shallotplank.core.gateway.AttemptProgress
 import org.shallotplank.core.gateway.EngineLoad
 import org.shallotplank.core.gateway.EntryLocation
 import org.shallotplank.core.gateway.GatewayEffect
@@ -20,7 +21,10 @@
 import org.shallotplank.core.gateway.ListedUpstream
 import org.shallotplank.core.gateway.RouteTable
 import org.shallotplank.core.gateway.UpstreamKey
+import org.shallotplank.core.gateway.needsProgress
 import org.shallotplank.core.gateway.on
+import org.shallotplank.core.gateway.workToReport
+import org.shallotplank.core.work.ReportedWork
 
 /** What a caller receives for one request that it sent to an entry. */
 internal interface CallerAnswer {
@@ -84,6 +88,7 @@
         val current = ++incarnation
         tickEvery(TICK, current) {
             reportSilence()
+            if (state.needsProgress) reportProgress()
             emit(GatewayEvent.Tick)
         }
         tickEvery(PAUSE_REPORT_INTERVAL, current) { reportPauses() }
@@ -98,6 +103,11 @@
         lost.forEach { it.answer.onCut() }
     }
 
+    fun onWork(event: GatewayEvent.WorkLearned): Unit = emit(event)
+
+    /** What the entry would report of the work of its requests; null if it would report nothing. */
+    fun workToReport(now: Instant): ReportedWork? = state.workToReport(now)
+
     fun onPeers(event: GatewayEvent.PeersReported): Unit = emit(event)
 
     /** Accepts a request whose caller waits for [timeLeft]; a stopped entry cuts it at once. */
@@ -113,7 +123,8 @@
             credential = null,
             timeLeft = timeLeft,
             bodySha256 = id.value,
-            arrivedAt = clock.now
+            arrivedAt = clock.now,
+            size = draw.size
         )
         emit(GatewayEvent.Arrived(request))
     }
@@ -174,6 +185,14 @@
         }
     }
 
+    private fun reportProgress() {
+        val received = open.mapNotNull { (id, request) ->
+            val attempt = request.attempt?.takeIf { it.isOpen && it.events > 0 }
+            attempt?.let { id to AttemptProgress(it.send.attempt, it.events) }
+        }
+        emit(GatewayEvent.StreamsProgressed(received.toMap().toPersistentMap()))
+    }
+
     private fun reportPauses() {
         if (pauses.isEmpty()) return
         val quantiles = pauses.mapValues { (_, all) ->
@@ -201,6 +220,8 @@
             private set
         var progressAt: Instant = clock.now
             private set
+        var events = 0
+            private set
         private val sentAt = clock.now
         private val sentBy = incarnation
         private var hasAnswer = false
@@ -231,6 +252,7 @@
         }
 
         override fun onEvent(): Unit = back {
+            events++
             val pause = clock.now - progressAt
             if (firstEvent == null) {
                 firstEvent = clock.now - sentAt
@@ -256,7 +278,8 @@
                 attempt = send.attempt,
                 status = STATUS_OK,
                 firstEvent = firstEvent,
-                longestPause = longestPause
+                longestPause = longestPause,
+                events = events
             )
             emit(ended)
             open.remove(send.requestId)?.answer?.onEnd(STATUS_OK)
