--- a/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
@@ -6,6 +6,7 @@
 import org.shallotplank.core.Address
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.ZoneName
+import org.shallotplank.core.work.WorkRouting
 
 /**
  * Settings of one gateway entry, which forwards requests by host and path directly to upstreams.
@@ -46,5 +47,7 @@
     /** Whether ranks refuse orders with a lower fencing number than one they have seen. */
     val areFencesChecked: Boolean = true,
     /** Registered entries up to which each entry polls all others; more use hubs. */
-    val maxPollingEntries: Int = 24
+    val maxPollingEntries: Int = 24,
+    /** Whether upstreams are chosen by the work that they have left. */
+    val workBasedRouting: WorkRouting = WorkRouting.AUTO
 )
--- a/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.raise.nullable
 import kotlinx.collections.immutable.persistentListOf
+import org.shallotplank.core.work.WorkRouting
 
 private const val HOUR_SECONDS = 3_600
 private const val PORT_MAX = 65_535
@@ -100,6 +101,15 @@
             "Give all entries the same number.",
         default = 24
     )
+    val workBasedRouting = KeySpec(
+        name = "work_based_routing",
+        rule = choice<WorkRouting>(),
+        doc =
+        "Whether upstreams are chosen by the work that they have left instead of the number " +
+            "of their requests. With `auto`, for model services whose answers differ widely in " +
+            "length.",
+        default = WorkRouting.AUTO
+    )
     val table = TableSpec(
         name = "",
         shape = TableShape.ROOT,
@@ -122,7 +132,8 @@
             retryWindow,
             retrySlack,
             areFencesChecked,
-            maxPollingEntries
+            maxPollingEntries,
+            workBasedRouting
         )
     )
 }
@@ -156,6 +167,7 @@
     val retrySlack = read(GatewayKeys.retrySlack)
     val areFencesChecked = read(GatewayKeys.areFencesChecked)
     val maxPollingEntries = read(GatewayKeys.maxPollingEntries)
+    val workBasedRouting = read(GatewayKeys.workBasedRouting)
     return nullable {
         GatewayEntrySettings(
             instanceId = instanceId.bind(),
@@ -175,7 +187,8 @@
             retryWindow = retryWindow.bind(),
             retrySlack = retrySlack.bind(),
             areFencesChecked = areFencesChecked.bind(),
-            maxPollingEntries = maxPollingEntries.bind()
+            maxPollingEntries = maxPollingEntries.bind(),
+            workBasedRouting = workBasedRouting.bind()
         )
     }
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayState.kt
@@ -1,5 +1,6 @@
 package org.shallotplank.core.gateway
 
+import kotlin.LazyThreadSafetyMode.NONE
 import kotlin.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
@@ -16,6 +17,7 @@
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.quarantine.PartQuarantine
 import org.shallotplank.core.quarantine.Quarantine
+import org.shallotplank.core.work.WorkEstimates
 
 /** Next state of a gateway entry and the side effects that it requests. */
 public typealias GatewayStep = Step<GatewayState, GatewayEffect>
@@ -35,6 +37,7 @@
  *   notice is kept while its upstream is not listed, because the upstream's row may reappear.
  * @property waitingElsewhere what other entries last reported of their waiting requests.
  * @property outageRefusals refusals while no upstream of a service answered.
+ * @property work what was learned about the work of requests.
  */
 public data class GatewayState(
     val settings: GatewaySettings,
@@ -59,8 +62,15 @@
         InstanceId,
         PersistentMap<ServiceName, WaitingRequests>
         > = persistentMapOf(),
-    val outageRefusals: PersistentMap<ServiceName, OutageRefusals> = persistentMapOf()
+    val outageRefusals: PersistentMap<ServiceName, OutageRefusals> = persistentMapOf(),
+    val work: WorkEstimates = WorkEstimates()
 ) {
+    /** Calls with an open attempt, by upstream. */
+    internal val sentCalls: Map<UpstreamKey, List<GatewayCall>> by lazy(NONE) {
+        calls.values.filter { it.phase is GatewayPhase.Sent }
+            .groupBy { (it.phase as GatewayPhase.Sent).upstream }
+    }
+
     /** Whether the process was asked to stop. */
     public val isStopping: Boolean get() = plannedStop != null
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -49,6 +49,7 @@
 import org.shallotplank.gateway.peer.sendDelegated
 import org.shallotplank.gateway.peer.upstreamRateTable
 import org.shallotplank.gateway.peer.waitingTable
+import org.shallotplank.gateway.peer.workTable
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.StoreRow
 import org.shallotplank.gateway.store.TableReplica
@@ -128,7 +129,8 @@
                 waiting = { exchanges.state.waitingRequests },
                 onLearned = exchanges::emit,
                 log = log
-            )
+            ),
+            workTable(settings.instanceId, clock, exchanges::workToReport, exchanges::emit, log)
         ),
         clock
     )
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
@@ -84,5 +84,17 @@
         "Age of the oldest report of an entry that counts as alive"
     ),
     HUB("shallotplank.gateway.hub", "1 while the entry is a hub, else 0"),
+    ESTIMATE_FACTOR(
+        "shallotplank.gateway.work.estimate.factor",
+        "Typical factor between expected and actual tokens of answers; 1 is exact"
+    ),
+    ESTIMATE_BIAS(
+        "shallotplank.gateway.work.estimate.bias",
+        "Actual over expected tokens of answers; above 1, estimates are too low"
+    ),
+    SERVICES_BY_WORK(
+        "shallotplank.gateway.work.services",
+        "Services whose upstreams are chosen by the work that they have left"
+    ),
     READY("shallotplank.gateway.ready", "1 while the entry is ready, else 0")
 }
