Divide the upstreams in service where their rate has no share for each entry

An entry owned upstreams of its own zone, and the rate of each other upstream is shared by its owner and the eight entries after it only.

The shares of an upstream never exceed its rate; while entries have read different states of the zones, two divisions may overlap for up to two seconds.

UpstreamOwnershipTest fails without the division (16 of 24 entries of the zone without any share) and passes with it; EntryFleetTest and EqualPriorityFleetTest pass.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpdates.kt
@@ -85,7 +85,7 @@
             )
         }
     }
-    val state = copy(upstreams = next.withOwnership(entries, settings.instance, servingEntries))
+    val state = copy(upstreams = divideUpstreams(next))
     return records.fold(GatewayStep(state)) { step, record -> step.then { it.logged(record) } }
         .then { it.resizeQueues(context) }
 }
@@ -121,7 +121,10 @@
         "out_of_service" to zones.joinToString(","),
         "before" to outOfService.joinToString(",")
     )
-    return copy(outOfService = zones).logged(record).then { it.resizeQueues(context) }
+    val changed = copy(outOfService = zones)
+    return changed.copy(upstreams = changed.divideUpstreams())
+        .logged(record)
+        .then { it.resizeQueues(context) }
 }
 
 internal fun GatewayState.onPeersReported(
@@ -130,7 +133,7 @@
 ): GatewayStep {
     val isChanged = event.entries != entries || event.serving != servingEntries
     val divided = if (isChanged) {
-        upstreams.withOwnership(event.entries, settings.instance, event.serving)
+        divideUpstreams(entries = event.entries, serving = event.serving)
     } else {
         upstreams
     }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/UpstreamOwnership.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/UpstreamOwnership.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.mutate
 import org.shallotplank.core.InstanceId
+import org.shallotplank.core.ServiceName
 
 /**
  * Position of one entry relative to the owner of an upstream.
@@ -26,37 +27,72 @@
  *
  * @param own this entry; the map is returned unchanged if it is not among [entries].
  * @param serving entries that serve now; they substitute for owners that do not.
+ * @param isShared whether an upstream is divided among all entries without regard to those for
+ *   which this is false. Those are divided as if all were.
  */
 internal fun PersistentMap<UpstreamKey, GatewayUpstream>.withOwnership(
     entries: Collection<EntryLocation>,
     own: InstanceId,
-    serving: Set<InstanceId>
+    serving: Set<InstanceId>,
+    isShared: (GatewayUpstream) -> Boolean = { true }
 ): PersistentMap<UpstreamKey, GatewayUpstream> {
     val order = entries
         .sortedWith(compareBy({ it.zone.value }, { it.instance.value }))
         .map { it.instance }
-    val ownIndex = order.indexOf(own)
-    if (ownIndex < 0) return this
+    if (own !in order) return this
+    val ownerships = HashMap<UpstreamKey, UpstreamOwnership>()
+    for (upstreams in values.filter { it.isListed }.groupBy { it.record.service }.values) {
+        ownerships += upstreams.dividedAmong(order, own, serving)
+        ownerships += upstreams.filter(isShared).dividedAmong(order, own, serving)
+    }
     return mutate { map ->
-        for (upstreams in values.filter { it.isListed }.groupBy { it.record.service }.values) {
-            val sorted = upstreams.sortedWith(
-                compareBy({ it.record.zone.value }, { it.record.id.value }, { it.key.incarnation })
-            )
-            sorted.forEachIndexed { index, upstream ->
-                val ownerIndex = index * order.size / sorted.size
-                val ownership = UpstreamOwnership(
-                    distance = (ownIndex - ownerIndex).mod(order.size),
-                    isPreferred = sorted.size < order.size ||
-                        order.firstServing(ownerIndex, own, serving) == own
-                )
-                if (upstream.ownership != ownership) {
-                    map[upstream.key] = upstream.copy(ownership = ownership)
-                }
-            }
+        for ((key, ownership) in ownerships) {
+            val upstream = map.getValue(key)
+            if (upstream.ownership != ownership) map[key] = upstream.copy(ownership = ownership)
         }
     }
 }
 
+private fun List<GatewayUpstream>.dividedAmong(
+    order: List<InstanceId>,
+    own: InstanceId,
+    serving: Set<InstanceId>
+): Map<UpstreamKey, UpstreamOwnership> {
+    val ownIndex = order.indexOf(own)
+    val sorted = sortedWith(
+        compareBy({ it.record.zone.value }, { it.record.id.value }, { it.key.incarnation })
+    )
+    return sorted.withIndex().associate { (index, upstream) ->
+        val ownerIndex = index * order.size / sorted.size
+        upstream.key to UpstreamOwnership(
+            distance = (ownIndex - ownerIndex).mod(order.size),
+            isPreferred = sorted.size < order.size ||
+                order.firstServing(ownerIndex, own, serving) == own
+        )
+    }
+}
+
+/**
+ * The upstreams divided among [entries].
+ *
+ * Where the rate of an upstream is too low for a share of each entry, the upstreams in service are
+ * divided by themselves. Otherwise the entries whose upstreams are in a zone out of service would
+ * have no share of any other.
+ */
+internal fun GatewayState.divideUpstreams(
+    upstreams: PersistentMap<UpstreamKey, GatewayUpstream> = this.upstreams,
+    entries: Collection<EntryLocation> = this.entries,
+    serving: Set<InstanceId> = servingEntries
+): PersistentMap<UpstreamKey, GatewayUpstream> =
+    upstreams.withOwnership(entries, settings.instance, serving) {
+        isInService(it) || hasShareForAll(it.record.service, entries.size)
+    }
+
+private fun GatewayState.hasShareForAll(service: ServiceName, entryCount: Int): Boolean {
+    val rate = service(service)?.coldRatePerSecond ?: return true
+    return rateShare(rate, distance = entryCount - 1, entryCount) > 0
+}
+
 /** The first serving entry from index [start] on, cyclically; [own] always counts as serving. */
 private fun List<InstanceId>.firstServing(
     start: Int,
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/UpstreamOwnershipTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/UpstreamOwnershipTest.kt
@@ -4,7 +4,12 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.ZoneName
@@ -84,6 +89,63 @@
         }
     }
 
+    /**
+     * Guards against entries that refuse all requests while a zone is out of service: they owned
+     * its upstreams, and the low rate of the others left no share for them.
+     */
+    @Nested
+    inner class ManyEntriesWithAZoneOutOfService {
+        private val zones = listOf("a", "b", "c")
+        private val many = List(70) { EntryLocation(InstanceId("e%02d".format(it)), zone(it)) }
+        private val engines = List(72) { listedUpstream("%02d".format(it), zones[it % 3]) }
+            .map { GatewayUpstream(it.record) }
+            .associateBy { it.key }
+            .toPersistentMap()
+
+        private fun zone(index: Int) = ZoneName(zones[index % 3])
+
+        private fun sharesOf(own: EntryLocation, rate: Double): Map<UpstreamKey, Int> {
+            val state = entryState(own, rate)
+            return state.upstreams.filterValues { state.isInService(it) }
+                .mapValues { (_, upstream) -> state.rateShareOf(rate, upstream) }
+        }
+
+        private fun entryState(own: EntryLocation, rate: Double): GatewayState {
+            val names = many.map { it.instance }.toPersistentSet()
+            val service = UpstreamService(testService, maxConnections = 100, rate)
+            val routes = emptyRouteTable.copy(services = persistentMapOf(testService to service))
+            val settings = GatewaySettings(own.instance, own.zone, 0.2, 10.seconds, 100)
+            val state = GatewayState(
+                settings = settings,
+                routes = routes,
+                upstreams = engines,
+                entries = many.toPersistentSet(),
+                servingEntries = names
+            )
+            val context = GatewayContext(Instant.fromEpochSeconds(1), Random(1))
+            return state.onEvacuationsChanged(persistentSetOf(ZoneName("a")), context).state
+        }
+
+        @Test
+        fun `leaves each entry upstreams that it may use, within their rates`() {
+            val rate = 17.0
+            val shares = many.map { sharesOf(it, rate) }
+
+            assertEquals(emptyList(), many.filterIndexed { at, _ -> shares[at].values.sum() < 4 })
+            for (key in shares.first().keys) {
+                val total = shares.sumOf { it.getValue(key) }
+                assertTrue(total <= rate, "$total of $rate for $key")
+            }
+        }
+
+        @Test
+        fun `changes no owner where each entry has a share of each upstream`() {
+            val own = many.first()
+            val whole = engines.withOwnership(many, own.instance, many.map { it.instance }.toSet())
+            assertEquals(whole, entryState(own, rate = 200.0).upstreams)
+        }
+    }
+
     /** Load pattern: an engine turns cold while dozens of entries send requests to it. */
     @Nested
     inner class SharesOfARate {
