--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -127,7 +127,8 @@
         "others_outstanding" to chosen.othersOutstanding,
         "slots" to chosen.record.slots,
         "expected_ms" to call.cost?.total?.inWholeMilliseconds,
-        "work_left_ms" to loadAt(chosen, call, context.now).timeLeft.inWholeMilliseconds,
+        "work_left_ms" to call.cost
+            ?.let { loadAt(chosen, call, context.now).timeLeft.inWholeMilliseconds },
         "by_work" to usesWork(call.service),
         "time_left_ms" to send.timeLeft.inWholeMilliseconds,
         "configuration" to routesInForce.version
