Compare the limit of slow upstreams in the model of decisions

Cause: the model's slow rank was not reported to the entries, so that no way of deciding saw it, and its experts stayed slow until the fault ended, although a map relieves the rank.

Change: entries learn of the slowdown after one second, and the map relieves the rank after that and the time to adapt.

--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionSimulation.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionSimulation.kt
@@ -9,6 +9,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
@@ -75,6 +76,9 @@
     private val locations = entries.map { it.location }.toPersistentSet()
     private val measurements = ServiceMeasurements(load)
 
+    /** Slowdowns that the keepers of the rank groups report. */
+    private var slowdowns = persistentMapOf<InstanceId, Double>()
+
     /** Runs the load once and returns what its callers were served. */
     fun run(): ServiceMeasurements {
         entries.forEachIndexed { index, entry ->
@@ -165,7 +169,8 @@
                 entryCount = entries.size,
                 inFlight = inFlight.toPersistentMap(),
                 entries = locations,
-                serving = others.map { it.location.instance }.toPersistentSet()
+                serving = others.map { it.location.instance }.toPersistentSet(),
+                slowdowns = slowdowns
             )
         )
     }
@@ -210,10 +215,8 @@
         when (fault.kind) {
             LoadFaultKind.DEMAND_JUMP -> rankGroups.forEach { it.jumpDemand() }
             LoadFaultKind.SLOW_RANK -> {
-                rankGroups.forEach { it.slowDownOneRank(fault.factor) }
-                clock.after(fault.length) {
-                    rankGroups.forEach { it.slowDownOneRank(slowdown = 1.0) }
-                }
+                slowDownOneRank(rankGroups, fault.factor)
+                clock.after(fault.length) { slowDownOneRank(rankGroups, slowdown = 1.0) }
             }
             LoadFaultKind.ANSWERS_LOST -> {
                 plain.forEach { it.lostShare = fault.factor }
@@ -230,6 +233,15 @@
         }
     }
 
+    private fun slowDownOneRank(rankGroups: List<SimulatedRankGroup>, slowdown: Double) {
+        rankGroups.forEach { it.slowDownOneRank(slowdown, DETECTION_TIME) }
+        val slow = sites.values.filter { it.upstreams in rankGroups && it.index == 0 }
+            .associate { it.listed.record.id to slowdown }
+        clock.after(DETECTION_TIME) {
+            slowdowns = slow.filterValues { it > 1.0 }.toPersistentMap()
+        }
+    }
+
     /** A caller with one request, which returns after a refusal as often as its kind allows. */
     private inner class SimulatedCaller(
         private val result: RequestResult,
@@ -310,6 +322,8 @@
         val START = Instant.fromEpochSeconds(1_000_000)
 
         /** Covers the deadline of every request that arrived before the end. */
+        /** Three iterations of a group with a slow rank. */
+        val DETECTION_TIME = 1.seconds
         val DRAIN_TIME = 10.seconds
         val FAILURE_DELAY = 50.milliseconds
         const val FIRST_FAILURE_STATUS = 500
--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionWays.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionWays.kt
@@ -12,6 +12,7 @@
     "wait-by-deadline" to GatewayPolicies(maxWait = { waitWithin(it, deadlineShare = 0.25) }),
     "wait-half-goal" to GatewayPolicies(maxWait = { it.route.goal * 0.5 }),
     "wait-goal" to GatewayPolicies(maxWait = { it.route.goal }),
+    "no-slow-limit" to GatewayPolicies(slowSlots = { _, slots, _ -> slots }),
     "fewest-outstanding" to GatewayPolicies(
         upstreamCost = { _, upstream, _, _ ->
             upstream.totalOutstanding.toDouble() / upstream.record.slots.coerceAtLeast(1)
--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/SimulatedUpstreams.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/SimulatedUpstreams.kt
@@ -57,14 +57,20 @@
     private var isDown = false
     private var incarnation = 0
     private var jumpedAt: Instant = Instant.DISTANT_PAST
+    private var relievedAt: Instant = Instant.DISTANT_PAST
 
     fun jumpDemand() {
         jumpedAt = clock.now
     }
 
-    /** Makes the first rank take [slowdown] times as long for all its work. */
-    fun slowDownOneRank(slowdown: Double) {
+    /**
+     * Makes the first rank take [slowdown] times as long for all its work.
+     *
+     * After [untilDetected] and the time to adapt, the map leaves it hardly any expert.
+     */
+    fun slowDownOneRank(slowdown: Double, untilDetected: Duration) {
         ranks.first().slowdown = slowdown
+        relievedAt = clock.now + untilDetected + engine.adaptTime
     }
 
     override fun accept(upstream: Int, work: SimulatedWork): Boolean {
@@ -126,8 +132,9 @@
         return writing * steps + (read / engine.promptTokensPerMilli).milliseconds
     }
 
-    /** A slow rank takes as much longer for the tokens of its experts. */
-    private fun slowestExperts(): Double = ranks.maxOf { it.slowdown }
+    /** A slow rank takes as much longer for the tokens of its experts until a map relieves it. */
+    private fun slowestExperts(): Double =
+        if (clock.now < relievedAt) ranks.maxOf { it.slowdown } else 1.0
 
     private fun imbalance(): Double =
         if (clock.now - jumpedAt < engine.adaptTime) engine.jumpImbalance else engine.usualImbalance
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayPolicies.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayPolicies.kt
@@ -15,12 +15,16 @@
  *   caller; [GatewayCall.deadline] limits the wait further.
  * @property upstreamCost returns the estimated cost of sending a call to an upstream; a busy
  *   upstream costs 1.0, and the call goes to the one with the lowest cost.
+ * @property slowSlots returns how many requests an upstream may run that is slower by a factor,
+ *   given its slots and the usual pause of its service's streams.
  */
 public class GatewayPolicies(
     public val maxRunning: (state: GatewayState, service: ServiceName, slots: Int) -> Int =
         { state, service, slots -> state.maxRunningWithinPause(service, slots) },
     public val maxWait: (call: GatewayCall) -> Duration = ::usualMaxWait,
-    public val upstreamCost: UpstreamCost = ::defaultUpstreamCost
+    public val upstreamCost: UpstreamCost = ::defaultUpstreamCost,
+    public val slowSlots: (usual: UsualPause, slots: Int, slowdown: Double) -> Int =
+        UsualPause::allowedRequests
 )
 
 /** Estimated cost of sending [GatewayCall] to [GatewayUpstream] at a point in time. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/SlowRanks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/SlowRanks.kt
@@ -49,11 +49,11 @@
     }
 }
 
-private fun allowedRequests(upstream: GatewayUpstream, usualPause: UsualPause?): Int {
+private fun GatewayState.allowedRequests(upstream: GatewayUpstream, usualPause: UsualPause?): Int {
     val slots = upstream.record.slots
     if (upstream.slowdown < MIN_SLOWDOWN) return slots
     val pause = upstream.slow?.usualPause ?: usualPause
-    return pause?.allowedRequests(slots, upstream.slowdown) ?: slots
+    return pause?.let { settings.policies.slowSlots(it, slots, upstream.slowdown) } ?: slots
 }
 
 private fun nextLimit(
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/SlowUpstream.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/SlowUpstream.kt
@@ -56,7 +56,7 @@
      * Number of requests, at most [slots], with which the own part of an upstream that is slower by
      * the factor [slowdown] keeps iterations within [longest].
      */
-    internal fun allowedRequests(slots: Int, slowdown: Double): Int {
+    public fun allowedRequests(slots: Int, slowdown: Double): Int {
         val own = requests * OWN_SHARE
         val forOwnPart = longest - (requests - own)
         val forRequests = forOwnPart / slowdown - fixed
