--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionWays.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionWays.kt
@@ -20,6 +20,7 @@
         DecisionWay(GatewayPolicies(maxWait = { waitWithin(it, deadlineShare = 0.25) })),
     "wait-half-goal" to DecisionWay(GatewayPolicies(maxWait = { it.route.goal * 0.5 })),
     "wait-goal" to DecisionWay(GatewayPolicies(maxWait = { it.route.goal })),
+    "no-slow-limit" to DecisionWay(GatewayPolicies(slowSlots = { _, slots, _ -> slots })),
     "fewest-outstanding" to DecisionWay(
         GatewayPolicies(
             upstreamCost = { _, upstream, _, _ ->
