--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -13,21 +13,14 @@
 import org.shallotplank.core.Address
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.ZoneName
-import org.shallotplank.core.expertmap.OrderOutcome
 import org.shallotplank.core.gateway.EntryLocation
 import org.shallotplank.core.gateway.GatewayEvent
 import org.shallotplank.core.gateway.observedRates
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
-import org.shallotplank.gateway.group.GroupKeepers
-import org.shallotplank.gateway.group.KeeperCandidate
-import org.shallotplank.gateway.group.KeeperContext
-import org.shallotplank.gateway.group.LeaseGuard
 import org.shallotplank.gateway.group.RankPort
-import org.shallotplank.gateway.group.confirmedAt
 import org.shallotplank.gateway.http.HttpClient
-import org.shallotplank.gateway.peer.DelegatedHold
 import org.shallotplank.gateway.peer.EntryExchange
 import org.shallotplank.gateway.peer.ExchangeContext
 import org.shallotplank.gateway.peer.LeavingUpstream
@@ -37,15 +30,11 @@
 import org.shallotplank.gateway.peer.PeerTables
 import org.shallotplank.gateway.peer.PeerView
 import org.shallotplank.gateway.peer.Peers
-import org.shallotplank.gateway.peer.SeenLease
 import org.shallotplank.gateway.peer.SharedCrashes
-import org.shallotplank.gateway.peer.SlowRank
 import org.shallotplank.gateway.peer.TableCopy
 import org.shallotplank.gateway.peer.UpstreamInFlight
-import org.shallotplank.gateway.peer.delegate
 import org.shallotplank.gateway.peer.fetchTable
 import org.shallotplank.gateway.peer.promptCrashTable
-import org.shallotplank.gateway.peer.sendDelegated
 import org.shallotplank.gateway.peer.upstreamRateTable
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.StoreRow
@@ -82,27 +71,32 @@
         countCall = countPeerCall,
         onReport = ::onPolled
     )
-    private val leaseGuard = LeaseGuard(
-        areFencesChecked = settings.areFencesChecked,
-        clock = clock,
-        wallClock = environment.wallClock,
-        confirmedAt = ::leaseConfirmedAt
+    private val keeping: GroupKeeping = GroupKeeping(
+        settings = settings,
+        schema = schema,
+        environment = environment,
+        group = group,
+        scope = scope,
+        exchanges = exchanges,
+        reports = ::reports,
+        entryTable = { tables[schema.entryTable] },
+        instances = { entryLocations.map { it.instance } },
+        registeredIncarnation = ::registeredIncarnation,
+        log = log
     )
-    private val tables = StoreTables(
+    private val tables: StoreTables = StoreTables(
         settings = settings,
         schema = schema,
         clock = clock,
         random = environment.random,
         isHub = ::isHub,
         entryCount = { entryLocations.size },
-        isAfterLastSuspension = leaseGuard::isAfterLastSuspension,
+        isAfterLastSuspension = keeping::isAfterLastSuspension,
         fetch = ::fetch,
         onContact = ::onContact,
         log = log
     )
     private lateinit var registration: Registration
-    private lateinit var keepers: GroupKeepers
-    private lateinit var ranks: RankPort
     private var seeds = settings.seedAddresses.toSet()
     private var staleSince: Instant? = clock.now()
     private val crashes = SharedCrashes(clock) { exchanges.emit(GatewayEvent.CrashLearned(it)) }
@@ -134,7 +128,7 @@
             ownAddress = settings.peerAddress,
             incarnation = environment.incarnation,
             maxPollingEntries = settings.maxPollingEntries,
-            isAfterLastSuspension = leaseGuard::isAfterLastSuspension,
+            isAfterLastSuspension = keeping::isAfterLastSuspension,
             report = ::report,
             log = log,
             countCall = countPeerCall,
@@ -170,8 +164,7 @@
             publicAddress = settings.listenAddress.toString(),
             zone = settings.zone.value
         )
-        this.ranks = ranks
-        keepers = GroupKeepers(keeperContext(), store, ranks, scope)
+        keeping.start(store, ranks)
         registration = Registration(settings.instanceId.value, row, schema.entryTable, store)
         exchanges.onCrash = crashes::add
         tables.start(store, scope)
@@ -200,49 +193,11 @@
         updateReadiness(now)
         exchange.tick(now)
         emitPeers()
-        keepers.tick(now)
+        keeping.tick(now)
     }
 
-    private fun keeperContext() = KeeperContext(
-        own = KeeperCandidate(settings.instanceId.value, environment.incarnation),
-        candidates = ::keeperCandidates,
-        state = exchanges::state,
-        table = schema.entryTable,
-        replica = ::entryReplica,
-        hasRelinquished = ::hasRelinquished,
-        guard = leaseGuard,
-        delegateHold = ::delegateHold,
-        clock = clock,
-        log = log
-    )
-
-    private val leasesReadAt: Instant
-        get() = tables[schema.entryTable].answeredAt
-
-    private fun leaseConfirmedAt(group: String): Instant {
-        val others = entryLocations.map { it.instance.value } - settings.instanceId.value
-        val confirmations = reports.confirmations(group, others)
-        return confirmedAt(keepers.knownTerms[group], leasesReadAt, confirmations)
-    }
-
-    /** True if the candidate reports it, or if a later incarnation of its instance is known. */
-    private fun hasRelinquished(candidate: KeeperCandidate, group: String): Boolean {
-        if (reports.hasLeft(candidate, group)) return true
-        val registered = entryReplica().row(Registration.keyOf(candidate.instance))
-            ?.let { decodeRow(it.value)?.incarnation }
-        val own = environment.incarnation.takeIf {
-            candidate.instance == settings.instanceId.value
-        }
-        return (reports.incarnationsOf(candidate.instance) + listOfNotNull(registered, own))
-            .any { it > candidate.incarnation }
-    }
-
-    private fun keeperCandidates(): List<KeeperCandidate> {
-        val own = KeeperCandidate(settings.instanceId.value, environment.incarnation)
-        val isServing = exchanges.state.isReady && !exchanges.state.isStopping
-        return listOfNotNull(own.takeIf { isServing }) + reports.serving
-            .map { KeeperCandidate(it.instance, it.incarnation) }
-    }
+    private fun registeredIncarnation(instance: String): Long? =
+        entryReplica().row(Registration.keyOf(instance))?.let { decodeRow(it.value)?.incarnation }
 
     private val reports: PeerReports get() = PeerReports(peers.alive)
 
@@ -258,28 +213,8 @@
     suspend fun unregister(): Unit = registration.remove(entryReplica())
 
     /** Sends the hold in [body] for another entry's keeper; [reply] gets null for a wrong body. */
-    fun sendDelegatedHold(body: ByteArray, reply: (ByteArray?) -> Unit) {
-        scope.launch {
-            val outcome = sendDelegated(body, ranks)
-            if (outcome == null) {
-                log(logRecord(LogEvent.STORE_ROW_UNREADABLE, "row" to "delegated hold"))
-            }
-            reply(outcome)
-        }
-    }
-
-    /**
-     * Has one of the other serving entries send [hold].
-     *
-     * Only where ranks check fences, since that entry may be suspended and send the hold when the
-     * group already has another keeper.
-     */
-    private suspend fun delegateHold(hold: DelegatedHold): OrderOutcome {
-        if (!settings.areFencesChecked) return OrderOutcome.NO_ANSWER
-        val peer = reports.servingAddresses.randomOrNull(environment.random)
-            ?: return OrderOutcome.NO_ANSWER
-        return delegate(hold, peer, group)
-    }
+    fun sendDelegatedHold(body: ByteArray, reply: (ByteArray?) -> Unit): Unit =
+        keeping.sendDelegatedHold(body, reply)
 
     /** The report that this entry sends to the others. */
     fun report(): PeerReport = PeerReport(
@@ -289,19 +224,17 @@
         zone = settings.zone.value,
         isReady = exchanges.state.isReady,
         isStopping = exchanges.state.isStopping,
-        tableVersions = peerTables.versions +
-            tables.versions,
+        tableVersions = peerTables.versions + tables.versions,
         inFlight = exchanges.state.inFlight
             .map { (key, count) -> UpstreamInFlight(key.id.value, key.incarnation, count) },
         crashes = crashes.recent,
         leaving = exchanges.state.upstreams.values
             .filter { it.notice.isLeaving }
             .map { LeavingUpstream(it.record.id.value, it.record.incarnation) },
-        groupsLeft = keepers.relinquishedGroups,
-        slowRanks = keepers.slowRanks.map { (id, slowdown) -> SlowRank(id.value, slowdown) },
-        leases = keepers.knownTerms.map { (group, term) -> SeenLease(group, term) },
-        leasesAgeMillis = leasesReadAt.takeIf { leaseGuard.isAfterLastSuspension(it) }
-            ?.let { (clock.now() - it).inWholeMilliseconds }
+        groupsLeft = keeping.relinquishedGroups,
+        slowRanks = keeping.reportedSlowRanks,
+        leases = keeping.reportedLeases,
+        leasesAgeMillis = keeping.leasesAgeMillis
     )
 
     /** The copy of [table], or null before the first read. */
@@ -367,7 +300,7 @@
                 entries = entries.toPersistentSet(),
                 serving = reports.serving.map { InstanceId(it.instance) }.toPersistentSet(),
                 leaving = reports.leaving,
-                slowdowns = reports.slowdowns.putAll(keepers.slowRanks)
+                slowdowns = reports.slowdowns.putAll(keeping.slowRanks)
             )
         )
     }
