--- /dev/null
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadStandIns.kt
@@ -0,0 +1,138 @@
+package org.shallotplank.integrationtest.load
+
+import io.ktor.http.ContentType
+import io.ktor.server.request.receive
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.RoutingContext
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.route
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.Base64
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+import kotlinx.coroutines.delay
+import org.shallotplank.core.Address
+import org.shallotplank.integrationtest.anyLoopbackPort
+import org.shallotplank.integrationtest.startServer
+
+/** Stand-in for the platform's store that holds one configuration and one upstream. */
+internal class FixedStore(configuration: String, upstream: Address) : AutoCloseable {
+    private val rowsByTable = mapOf(
+        "op" to row("config", configuration),
+        "servers" to row(
+            "upstream",
+            """{"service":"s","zone":"a","addr":"$upstream","slots":$UPSTREAM_SLOTS,""" +
+                """"state":"ready"}"""
+        )
+    )
+    private val server = startServer(anyLoopbackPort) {
+        get("/rows-get") { answer(rowsByTable[call.request.queryParameters["table"]].orEmpty()) }
+        get("/rows-feed") {
+            delay(call.request.queryParameters["wait_ms"]?.toLong() ?: 0)
+            answer("")
+        }
+        post("/rows-tx") {
+            call.receive<ByteArray>()
+            answer("")
+        }
+    }
+
+    val address: Address = server.address
+
+    override fun close(): Unit = server.close()
+
+    private suspend fun RoutingContext.answer(rows: String) {
+        call.response.header("Store-Era", "1")
+        call.respondText("""{"rows":[$rows],"ver":1,"now_ms":0}""", ContentType.Application.Json)
+    }
+
+    private fun row(key: String, value: String): String {
+        val encoded = Base64.getEncoder().encodeToString(value.toByteArray())
+        return """{"key":"$key","value":"$encoded","ver":1}"""
+    }
+
+    private companion object {
+        const val UPSTREAM_SLOTS = 32
+    }
+}
+
+/** Upstream that signs its answers as engines do; `/s/long` answers [longBytes], others a word. */
+internal class SigningUpstream(private val longBytes: Int) : AutoCloseable {
+    private val server = startServer(anyLoopbackPort) {
+        route("/{path...}") {
+            handle {
+                call.receive<ByteArray>()
+                call.request.headers["Attempt-Id"]?.let { call.response.header("Attempt-Id", it) }
+                call.response.header("Answer-Stamp", "stamp")
+                val isLong = call.parameters.getAll("path").orEmpty().last() == "long"
+                call.respondBytes(if (isLong) ByteArray(longBytes) else "done".toByteArray())
+            }
+        }
+    }
+
+    val address: Address = server.address
+
+    override fun close(): Unit = server.close()
+}
+
+/**
+ * Engine behind a relay that answers `/ordinary` and `/long`, and stops reading other requests
+ * after their first bytes.
+ */
+internal class StallingEngine : AutoCloseable {
+    private val listening = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val accepted = CopyOnWriteArrayList<Socket>()
+
+    val address = Address("127.0.0.1", listening.localPort)
+
+    init {
+        thread(isDaemon = true) {
+            try {
+                while (true) listening.accept().also { accepted += it }.let(::serveInThread)
+            } catch (_: IOException) {
+                // The test has ended.
+            }
+        }
+    }
+
+    override fun close() {
+        listening.close()
+        accepted.forEach { it.close() }
+    }
+
+    private fun serveInThread(socket: Socket) {
+        thread(isDaemon = true) {
+            try {
+                serve(socket)
+            } catch (_: IOException) {
+                socket.close()
+            }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        val begin = ByteArray(FIRST_BYTES)
+        val count = socket.getInputStream().read(begin)
+        val target = String(begin, 0, count.coerceAtLeast(0)).substringAfter(' ')
+            .substringBefore(' ')
+        val bytes = when (target) {
+            "/ordinary" -> 4
+            "/long" -> LONG_BYTES
+            else -> return
+        }
+        val head = "HTTP/1.1 200 OK\r\nContent-Length: $bytes\r\n\r\n"
+        socket.getOutputStream().write(head.toByteArray() + ByteArray(bytes))
+    }
+
+    private companion object {
+        const val BACKLOG = 1_024
+        const val FIRST_BYTES = 64
+        const val LONG_BYTES = 8 * 1_048_576
+    }
+}
