Bound the memory that a gateway entry holds for callers

Cause: an entry bounded one head and one body, but not the total. A body was read in full before the route and the credential were checked, its composite buffer was copied at each 17th piece, fields were bounded by bytes only, and pipelined requests were answered without regard to unread answers.

Change: one budget counts heads, bodies, pipelined parts, answers and unread bytes. Above three quarters of it, large requests are read one after the other; at the limit, the connection that holds most for longest without progress is closed. Requests that are refused anyway are refused before their body, with an answer that a sending caller can read. Fields, pipelined requests, the rate and time of a body and the time of an unread answer are bounded. At the limit of connections, a slow or idle one is replaced. An OutOfMemoryError does not end the ticks of the entry.

--- a/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
@@ -44,5 +44,7 @@
     /** Retries per window beyond [retryRatio] that all entries together may make. */
     val retrySlack: Int,
     /** Whether ranks refuse orders with a lower fencing number than one they have seen. */
-    val areFencesChecked: Boolean = true
+    val areFencesChecked: Boolean = true,
+    /** Bytes that may be held for callers; null derives them from the JVM's limits. */
+    val maxHeldBytes: Long? = null
 )
--- a/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
@@ -5,6 +5,8 @@
 
 private const val HOUR_SECONDS = 3_600
 private const val PORT_MAX = 65_535
+private const val MAX_HELD_MEGABYTES = 65_536
+private const val MEGABYTE_BYTES = 1_048_576L
 private const val MAX_RETRY_SLACK = 1_000_000
 
 /** Keys of the settings of a gateway entry. */
@@ -91,6 +93,15 @@
             "they saw. Where they do not, only the holder of a group's lease keeps it.",
         default = true
     )
+    val maxHeldMegabytes = KeySpec(
+        name = "max_held_megabytes",
+        rule = wholeNumber(1..MAX_HELD_MEGABYTES),
+        required = false,
+        doc =
+        "Memory that may be held for all callers together: heads, bodies and unread answers. " +
+            "Left out, it is a third of the heap, at most half of the direct memory. It should " +
+            "be at least four times `max_body_bytes` of the published limits."
+    )
     val table = TableSpec(
         name = "",
         shape = TableShape.ROOT,
@@ -112,7 +123,8 @@
             retryRatio,
             retryWindow,
             retrySlack,
-            areFencesChecked
+            areFencesChecked,
+            maxHeldMegabytes
         )
     )
 }
@@ -145,6 +157,7 @@
     val retryWindow = read(GatewayKeys.retryWindow)
     val retrySlack = read(GatewayKeys.retrySlack)
     val areFencesChecked = read(GatewayKeys.areFencesChecked)
+    val maxHeldMegabytes = read(GatewayKeys.maxHeldMegabytes)
     return nullable {
         GatewayEntrySettings(
             instanceId = instanceId.bind(),
@@ -163,7 +176,8 @@
             retryRatio = retryRatio.bind(),
             retryWindow = retryWindow.bind(),
             retrySlack = retrySlack.bind(),
-            areFencesChecked = areFencesChecked.bind()
+            areFencesChecked = areFencesChecked.bind(),
+            maxHeldBytes = maxHeldMegabytes?.let { it * MEGABYTE_BYTES }
         )
     }
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -16,11 +16,10 @@
 
 internal fun GatewayState.onArrived(request: GatewayRequest, context: GatewayContext): GatewayStep {
     val table = routes?.takeIf { isReady } ?: return holdUntilReady(request, context)
-    val path = request.path.substringBefore('?')
-    val route = table.match(request.host, path)
+    val route = table.match(request.host, request.path.substringBefore('?'))
         ?: return refuseUnknown(request, STATUS_NOT_FOUND, GatewayRefusal.NO_ROUTE)
     val holder = request.credential?.let { table.customersByCredential[it] }
-    if (table.requiresCredentials && !route.isOpen && holder == null) {
+    if (!table.admits(route, holder)) {
         return refuseUnknown(request, STATUS_UNAUTHORIZED, GatewayRefusal.UNAUTHORIZED)
     }
     val service = drawService(route, context)
@@ -41,6 +40,24 @@
     return counted.put(call).admit(call, context)
 }
 
+/**
+ * Whether a request to [host] and [path] with [credential] is refused whatever its body is.
+ *
+ * Its body need not be read. While no configuration is known, no request is.
+ */
+public fun GatewayState.isRefusedBeforeBody(
+    host: String,
+    path: String,
+    credential: String?
+): Boolean {
+    val table = routes?.takeIf { isReady } ?: return false
+    val route = table.match(host, path.substringBefore('?')) ?: return true
+    return !table.admits(route, credential?.let { table.customersByCredential[it] })
+}
+
+private fun RouteTable.admits(route: Route, holder: CredentialHolder?): Boolean =
+    !requiresCredentials || route.isOpen || holder != null
+
 /**
  * Draws a target of [route] by weight, from those with a usable upstream or, if there are none,
  * from all.
--- a/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
@@ -76,6 +76,7 @@
     GATEWAY_ROUTES_IGNORED(5028, Severity.WARN, "routes older than those in force; ignored"),
     STORE_RESTORED(5029, Severity.WARN, "store was restored from a copy"),
     GATEWAY_ANSWER_SKIPPED(5030, Severity.WARN, "answer to another request skipped"),
+    CALLERS_SHED(5050, Severity.WARN, "callers refused or closed to bound what they hold"),
     PROCESS_STARTED(9001, Severity.INFO, "process started"),
     PROCESS_DRAINING(9002, Severity.INFO, "process stops taking work"),
     PROCESS_STOPPED(9003, Severity.INFO, "process stopped"),
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -1,6 +1,7 @@
 package org.shallotplank.gateway
 
 import io.netty.channel.EventLoopGroup
+import io.netty.handler.codec.http.HttpRequest
 import java.security.MessageDigest
 import java.util.HexFormat
 import kotlin.time.Duration
@@ -19,11 +20,16 @@
 import org.shallotplank.core.gateway.GatewayState
 import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.core.gateway.acceptsRequests
+import org.shallotplank.core.gateway.isRefusedBeforeBody
 import org.shallotplank.core.gateway.on
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.core.quarantine.CrashRecord
+import org.shallotplank.gateway.budget.MemoryBudget
+import org.shallotplank.gateway.budget.ShedCause
+import org.shallotplank.gateway.budget.ShedLog
+import org.shallotplank.gateway.budget.jvmMaxBytes
 import org.shallotplank.gateway.caller.CallerConnection
 import org.shallotplank.gateway.caller.CallerListener
 import org.shallotplank.gateway.caller.CallerMessage
@@ -51,12 +57,15 @@
 ) : CallerListener {
     private val clock = environment.clock
     private val pool = UpstreamPool(group, clock)
+    private val budget = MemoryBudget(settings.maxHeldBytes ?: jvmMaxBytes(), clock::now)
+    private val shedLog = ShedLog(metrics::countShed, log) { budget.usedBytes }
     private val server = CallerServer(
         group,
         settings.listenAddress,
         (settings.maxConnections * CALLER_CONNECTION_SHARE).toInt(),
         this,
-        clock
+        clock,
+        budget
     )
     private val attempts = AttemptContext(headers, clock, pool, ::emit, log, ::recordPause)
     private val open = LinkedHashMap<RequestId, Exchange>()
@@ -86,6 +95,7 @@
         server.start()
         metrics.gauge(GatewayMetric.IN_FLIGHT) { open.size }
         metrics.gauge(GatewayMetric.CALLER_CONNECTIONS) { server.connectionCount }
+        metrics.gauge(GatewayMetric.HELD_BYTES) { budget.usedBytes }
         metrics.gauge(GatewayMetric.UPSTREAM_CONNECTIONS) { pool.openCount }
         metrics.gauge(GatewayMetric.UPSTREAMS) { state.upstreams.size }
         metrics.gauge(GatewayMetric.CONFIGURATION_VERSION) { state.routes?.version?.value ?: 0 }
@@ -125,6 +135,8 @@
         }
         if (now - pausesReportedAt >= PAUSE_REPORT_INTERVAL) reportPauses(now)
         emit(GatewayEvent.Tick)
+        budget.sweep()
+        shedLog.write(now)
         if (now - sweptAt >= SWEEP_INTERVAL) {
             sweptAt = now
             server.closeOverdue(now)
@@ -175,10 +187,29 @@
     private fun digestOf(message: CallerMessage): String {
         val digest = MessageDigest.getInstance("SHA-256")
         digest.update("${message.method} ${message.uri}\n".toByteArray())
-        digest.update(message.body.nioBuffer())
+        message.body.nioBuffers().forEach(digest::update)
         return HexFormat.of().formatHex(digest.digest())
     }
 
+    override fun isRefusedBeforeBody(request: HttpRequest): Boolean = state.isRefusedBeforeBody(
+        host = request.headers()["Host"].orEmpty().substringBefore(':'),
+        path = request.uri(),
+        credential = request.headers()[headers.credential]
+    )
+
+    override fun onShed(connection: CallerConnection, cause: ShedCause): Unit = countShed(cause)
+
+    override fun onFailure(connection: CallerConnection, cause: Throwable): Unit = log(
+        logRecord(
+            LogEvent.INTERNAL_ERROR,
+            "error" to cause,
+            "place" to cause.stackTrace.firstOrNull()
+        )
+    )
+
+    /** Counts a connection of any address of the entry that was closed or refused. */
+    fun countShed(cause: ShedCause): Unit = shedLog.add(cause)
+
     override fun onInvalid(connection: CallerConnection, status: Int, detail: String): Unit = log(
         logRecord(
             LogEvent.CALLER_MESSAGE_INVALID,
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 import org.shallotplank.core.log.LogEvent
+import org.shallotplank.gateway.budget.ShedCause
 
 /** The metrics of one gateway entry, as `docs/metrics.md` lists them. */
 public class GatewayMetrics {
@@ -34,6 +35,11 @@
         }.record(duration.toJavaDuration())
     }
 
+    /** Counts a connection that was closed or refused to bound what callers hold. */
+    public fun countShed(cause: ShedCause) {
+        registry.counter(GatewayMetric.SHED.meter, "cause", cause.name.lowercase()).increment()
+    }
+
     /** Registers [metric] as a gauge that calls [value] at each scrape. */
     public fun gauge(metric: GatewayMetric, value: () -> Number) {
         registry.gauge(metric.meter, this) { value().toDouble() }
@@ -63,6 +69,11 @@
     LOG_EVENTS("shallotplank.gateway.log.events", "Log events by number"),
     IN_FLIGHT("shallotplank.gateway.requests.in.flight", "Requests taken and not ended"),
     CALLER_CONNECTIONS("shallotplank.gateway.caller.connections", "Open connections of callers"),
+    SHED(
+        "shallotplank.gateway.callers.shed",
+        "Connections closed or refused to bound what callers hold"
+    ),
+    HELD_BYTES("shallotplank.gateway.held.bytes", "Memory held for callers, estimated"),
     UPSTREAM_CONNECTIONS(
         "shallotplank.gateway.upstream.connections",
         "Open connections to upstreams"
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
@@ -165,6 +165,9 @@
             exchanges.tick(now)
         } catch (e: Exception) {
             logFailure(e)
+        } catch (e: OutOfMemoryError) {
+            // An exception would end the ticks, and with them all timeouts.
+            logFailure(e)
         }
     }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
@@ -1,10 +1,8 @@
 package org.shallotplank.gateway.caller
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -24,74 +22,96 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
-import kotlin.math.max
+import java.io.IOException
 import kotlin.time.Clock
 import kotlin.time.Duration
-import kotlin.time.DurationUnit
 import kotlin.time.Instant
 import org.shallotplank.core.gateway.CallerLimits
-
-/** Receives the events of a [CallerConnection]. */
-internal interface CallerListener {
-    /** The current limits. */
-    val limits: CallerLimits
-
-    /** Whether connections are to be closed after their current answer. */
-    val isStopping: Boolean
-
-    /** Called when a complete request was read; the listener answers it on [connection]. */
-    fun onRequest(connection: CallerConnection, message: CallerMessage)
-
-    /** Called when the connection rejects an invalid, large or slow request with [status]. */
-    fun onInvalid(connection: CallerConnection, status: Int, detail: String)
-
-    /** Called on close; [isAnswerOpen] is true if a request was unanswered. */
-    fun onClosed(connection: CallerConnection, isAnswerOpen: Boolean)
-
-    /** Called when the write buffer becomes full, and when it has space again. */
-    fun onWritable(connection: CallerConnection, isWritable: Boolean)
-}
+import org.shallotplank.gateway.budget.ConnectionActivity
+import org.shallotplank.gateway.budget.HeldFor
+import org.shallotplank.gateway.budget.MemoryBudget
+import org.shallotplank.gateway.budget.ShedCause
+import org.shallotplank.gateway.http.CountedHeadersFactory
+import org.shallotplank.gateway.http.TooManyFieldsException
 
 /**
  * One connection of a caller: reads one request at a time and writes its answer.
  *
  * While a request is unanswered, it keeps reading and queues the received parts, to detect at once
- * when the caller closes the connection.
+ * when the caller closes the connection. A later request is processed once the caller has read the
+ * answers before it. What the connection holds counts in [budget].
  */
 internal class CallerConnection(
     private val channel: Channel,
     private val listener: CallerListener,
-    private val clock: Clock
+    private val clock: Clock,
+    private val budget: MemoryBudget,
+    private val fields: CountedHeadersFactory
 ) : ChannelInboundHandlerAdapter() {
-    private var head: HttpRequest? = null
-    private var body: CompositeByteBuf? = null
-    private val pending = ArrayDeque<HttpObject>()
+    private val share = budget.open(::closeForMemory)
+    private val answers = AnswerWriter(channel, share, clock)
+    private val pending = PendingParts()
+    private var arriving: ArrivingRequest? = null
     private var isAnswerOpen = false
     private var closesAfterAnswer = false
+    private var isBodyRefused = false
     private var isClosing = false
     private var headerStartedAt: Instant? = null
+    private var headBytes = 0L
     private var lastReadAt: Instant = clock.now()
 
+    init {
+        share.onPaused = ::onPaused
+    }
+
     /** Address of the caller, for the logs. */
     val remote: String get() = channel.remoteAddress().toString()
 
-    /** Records the arrival of bytes, before they are decoded. */
-    fun onBytes() {
+    /** What the connection has done lately; one that this process does not read from is busy. */
+    fun activity(now: Instant): ConnectionActivity = ConnectionActivity(
+        isClosing = isClosing,
+        isRunning = isAnswerOpen || share.isPaused,
+        silence = now - lastReadAt,
+        arrivingFor = (arriving?.startedAt ?: headerStartedAt)?.let { now - it },
+        arrivedBytes = arriving?.body?.size?.toLong() ?: headBytes
+    )
+
+    /** Records the arrival of [count] bytes, before they are decoded. */
+    fun onBytes(count: Int) {
         lastReadAt = clock.now()
-        if (!isAnswerOpen && head == null && headerStartedAt == null) headerStartedAt = lastReadAt
+        share.onProgress(lastReadAt)
+        if (isAnswerOpen || isClosing || arriving != null) return
+        headBytes += count
+        if (headerStartedAt == null) headerStartedAt = lastReadAt
+    }
+
+    /** Counts what the decoder holds of a head, after it has decoded what arrived. */
+    fun onDecoded() {
+        if (headerStartedAt == null || isClosing) return
+        share.set(HeldFor.HEAD, headBytes * 2 + (fields.latest?.weightBytes ?: 0))
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (message !is HttpObject || isClosing) {
+        if (message !is HttpObject || isClosing || isBodyRefused) {
             ReferenceCountUtil.release(message)
             return
         }
-        if (isAnswerOpen) {
-            pending += message
-            if (pending.size >= MAX_PENDING_PARTS) channel.config().isAutoRead = false
-            return
+        if (isAnswerOpen || !pending.isEmpty || !channel.isWritable) {
+            queue(message)
+        } else {
+            process(message)
         }
-        process(message)
+    }
+
+    private fun queue(message: HttpObject) {
+        if (!pending.add(message)) {
+            if (!closesAfterAnswer) listener.onShed(this, ShedCause.PIPELINED)
+            // The requests in excess are not run; the caller notices that by the end.
+            closesAfterAnswer = true
+            isBodyRefused = true
+        }
+        share.set(HeldFor.PIPELINED, pending.weightBytes)
+        updateReading()
     }
 
     private fun process(message: HttpObject) {
@@ -101,10 +121,20 @@
             return
         }
         if (message is HttpRequest) onHead(message)
-        if (message is HttpContent && !isClosing) onBody(message)
+        if (message is HttpContent) {
+            try {
+                if (!isClosing) onBody(message)
+            } finally {
+                message.release()
+            }
+        }
     }
 
     private fun rejectUndecodable(cause: Throwable) = when (cause) {
+        is TooManyFieldsException -> {
+            listener.onShed(this, ShedCause.FIELDS)
+            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "too many fields")
+        }
         is TooLongHttpHeaderException, is TooLongHttpLineException ->
             reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "header too large")
         else -> reject(HttpResponseStatus.BAD_REQUEST, "not a valid request: ${cause.message}")
@@ -112,15 +142,19 @@
 
     private fun onHead(request: HttpRequest) {
         headerStartedAt = null
+        headBytes = 0
         val length = HttpUtil.getContentLength(request, 0L)
+        val hasBody = length > 0 || HttpUtil.isTransferEncodingChunked(request)
         when {
             request.headers().getAll(HttpHeaderNames.HOST).size != 1 ->
                 reject(HttpResponseStatus.BAD_REQUEST, "not exactly one Host header")
             length > listener.limits.maxBodyBytes ->
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
+            hasBody && listener.isRefusedBeforeBody(request) -> refuseBeforeBody(request)
             else -> {
-                head = request
-                body = Unpooled.compositeBuffer(MAX_BODY_PARTS)
+                val announced = length.takeIf { HttpUtil.isContentLengthSet(request) }
+                arriving = ArrivingRequest(request, channel.alloc(), announced, clock.now())
+                share.set(HeldFor.HEAD, weightOf(request))
                 if (HttpUtil.is100ContinueExpected(request)) {
                     channel.writeAndFlush(
                         DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
@@ -130,29 +164,36 @@
         }
     }
 
+    /** Passes the request on without its body, so that it is refused as any other one. */
+    private fun refuseBeforeBody(request: HttpRequest) {
+        isBodyRefused = true
+        closesAfterAnswer = true
+        finishRequest(request, Unpooled.EMPTY_BUFFER)
+    }
+
     private fun onBody(content: HttpContent) {
-        val request = head
-        val received = body
-        if (request == null || received == null) {
-            content.release()
-            return
-        }
-        if (received.readableBytes() + content.content().readableBytes() >
-            listener.limits.maxBodyBytes
-        ) {
-            content.release()
+        val request = arriving ?: return
+        val size = request.body.size + content.content().readableBytes()
+        if (size > listener.limits.maxBodyBytes) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
             return
         }
-        received.addComponent(true, content.content())
-        if (content is LastHttpContent) finishRequest(request, received)
+        request.body.append(content.content())
+        share.set(HeldFor.BODY, request.body.allocatedBytes)
+        // Counting may have closed this connection.
+        if (isClosing) return
+        if (content is LastHttpContent) {
+            arriving = null
+            finishRequest(request.head, request.body.complete())
+        } else {
+            budget.pauseIfPressed(share)
+        }
     }
 
     private fun finishRequest(request: HttpRequest, received: ByteBuf) {
-        head = null
-        body = null
         isAnswerOpen = true
-        closesAfterAnswer = !HttpUtil.isKeepAlive(request)
+        share.isRunning = true
+        closesAfterAnswer = closesAfterAnswer || !HttpUtil.isKeepAlive(request)
         val message = CallerMessage(request.method(), request.uri(), request.headers(), received)
         listener.onRequest(this, message)
     }
@@ -161,35 +202,38 @@
         listener.onInvalid(this, status.code(), detail)
         releaseParts()
         isClosing = true
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
-        response.headers()
-            .set(HttpHeaderNames.CONTENT_LENGTH, 0)
-            .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        answers.refuse(status)
     }
 
-    /** Sends an error answer that the gateway entry generates itself. */
-    fun sendError(status: Int, reason: String, retryAfter: Duration?) {
-        val content = Unpooled.copiedBuffer("{\"error\":\"$reason\"}", Charsets.US_ASCII)
-        val response = DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(status),
-            content
-        )
-        response.headers()
-            .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-            .set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
-        if (retryAfter != null) {
-            val seconds = max(0.0, retryAfter.toDouble(DurationUnit.SECONDS))
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(seconds))
+    private fun closeForMemory() {
+        listener.onShed(this, ShedCause.MEMORY)
+        if (isAnswerOpen || isClosing || answers.isUnread) {
+            isClosing = true
+            channel.close()
+        } else {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much memory is held for callers")
         }
-        sendWhole(response)
     }
 
+    /** Closes the connection so that another one can be accepted. */
+    fun replace() {
+        listener.onShed(this, ShedCause.CONNECTIONS)
+        isClosing = true
+        releaseParts()
+        channel.close()
+    }
+
+    /** Counts what is held of the answer to the current request. */
+    fun holdAnswer(bytes: Long): Unit = share.set(HeldFor.ANSWER, bytes)
+
+    /** Sends an error answer that the gateway entry generates itself. */
+    fun sendError(status: Int, reason: String, retryAfter: Duration?): Unit =
+        sendWhole(errorAnswer(status, reason, retryAfter))
+
     /** Sends a complete answer. */
     fun sendWhole(response: FullHttpResponse) {
         markClose(response)
-        channel.writeAndFlush(response)
+        answers.write(response)
         finishAnswer()
     }
 
@@ -200,13 +244,11 @@
     }
 
     /** Sends a part of the body. */
-    fun write(content: ByteBuf) {
-        channel.writeAndFlush(DefaultHttpContent(content))
-    }
+    fun write(content: ByteBuf): Unit = answers.write(DefaultHttpContent(content))
 
     /** Ends an answer that was sent in parts. */
     fun end() {
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        answers.write(LastHttpContent.EMPTY_LAST_CONTENT)
         finishAnswer()
     }
 
@@ -219,7 +261,7 @@
 
     /** Closes the connection if it is idle. */
     fun closeWhenIdle() {
-        if (!isAnswerOpen && head == null && headerStartedAt == null) {
+        if (!isAnswerOpen && arriving == null && headerStartedAt == null) {
             isClosing = true
             channel.close()
         }
@@ -234,61 +276,106 @@
 
     private fun finishAnswer() {
         isAnswerOpen = false
+        share.isRunning = false
         lastReadAt = clock.now()
+        share.set(HeldFor.HEAD, 0)
+        share.set(HeldFor.BODY, 0)
+        share.set(HeldFor.ANSWER, 0)
         if (closesAfterAnswer) {
             isClosing = true
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+            releaseParts()
+            answers.close(isMoreExpected = isBodyRefused)
             return
         }
-        while (pending.isNotEmpty() && !isAnswerOpen && !isClosing) process(pending.removeFirst())
-        if (pending.isEmpty() && !channel.config().isAutoRead) channel.config().isAutoRead = true
+        processPending()
+    }
+
+    private fun processPending() {
+        while (!pending.isEmpty && canProcess()) {
+            val next = pending.removeFirst()
+            share.set(HeldFor.PIPELINED, pending.weightBytes)
+            process(next)
+        }
+        updateReading()
+    }
+
+    private fun canProcess(): Boolean = !isAnswerOpen && !isClosing && channel.isWritable
+
+    private fun onPaused(isPaused: Boolean) {
+        if (!isPaused) arriving?.addPause(clock.now()) else arriving?.pausedAt = clock.now()
+        lastReadAt = clock.now()
+        updateReading()
+    }
+
+    private fun updateReading() {
+        val isReading = isClosing || isBodyRefused || (!pending.isFull && !share.isPaused)
+        if (channel.config().isAutoRead != isReading) channel.config().isAutoRead = isReading
     }
 
     /** Closes the connection if the caller exceeds a timeout of [CallerLimits]. */
     fun closeIfOverdue(now: Instant) {
-        if (isAnswerOpen || isClosing) return
         val limits = listener.limits
+        if (answers.isUnreadFor(now, limits.idleTimeout)) {
+            listener.onShed(this, ShedCause.SLOW_READER)
+            isClosing = true
+            channel.close()
+            return
+        }
+        if (isAnswerOpen || isClosing || share.isPaused) return
         val isHeaderLate = headerStartedAt?.let { now - it > limits.headerTimeout } ?: false
-        val isIdle = now - lastReadAt > limits.idleTimeout
+        val isIdle = now - lastReadAt > limits.idleTimeout && !answers.isUnread
         when {
             isHeaderLate -> reject(HttpResponseStatus.REQUEST_TIMEOUT, "header too slow")
-            isIdle && head != null -> reject(HttpResponseStatus.REQUEST_TIMEOUT, "body too slow")
+            isIdle && arriving != null ->
+                reject(HttpResponseStatus.REQUEST_TIMEOUT, "body too slow")
             isIdle -> {
                 isClosing = true
                 channel.close()
             }
+            arriving?.isTooSlow(now, limits.idleTimeout * RATE_GRACE_TIMEOUTS) == true -> {
+                listener.onShed(this, ShedCause.SLOW_SENDER)
+                reject(HttpResponseStatus.REQUEST_TIMEOUT, "body too slow")
+            }
         }
     }
 
-    override fun channelWritabilityChanged(context: ChannelHandlerContext): Unit =
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         listener.onWritable(this, channel.isWritable)
+        if (channel.isWritable && !isAnswerOpen && !pending.isEmpty) processPending()
+    }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         val wasUnanswered = isAnswerOpen
         isAnswerOpen = false
         isClosing = true
         releaseParts()
+        share.release()
         listener.onClosed(this, wasUnanswered)
     }
 
     @Deprecated("Netty deprecates it in the base class")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        when (cause) {
+            is OutOfMemoryError -> listener.onShed(this, ShedCause.MEMORY)
+            is IOException -> Unit
+            else -> listener.onFailure(this, cause)
+        }
         context.close()
     }
 
     private fun releaseParts() {
-        head = null
-        body?.release()
-        body = null
-        pending.forEach { ReferenceCountUtil.release(it) }
-        pending.clear()
+        arriving?.body?.release()
+        arriving = null
+        pending.release()
+        headerStartedAt = null
+        share.set(HeldFor.HEAD, 0)
+        share.set(HeldFor.PIPELINED, 0)
+        if (!isAnswerOpen) share.set(HeldFor.BODY, 0)
+        updateReading()
     }
 
     private companion object {
-        /** Number of queued parts of later requests at which reading from the caller pauses. */
-        const val MAX_PENDING_PARTS = 64
-
-        /** Number of parts above which a body is copied into one buffer. */
-        const val MAX_BODY_PARTS = 16
+        /** Idle timeouts after which the rate of a body counts; callers may stop and go on. */
+        const val RATE_GRACE_TIMEOUTS = 2
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamAttempt.kt
@@ -1,7 +1,7 @@
 package org.shallotplank.gateway.upstream
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
+import io.netty.buffer.ByteBufAllocator
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
@@ -28,6 +28,7 @@
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.gateway.Exchange
 import org.shallotplank.gateway.HeaderNames
+import org.shallotplank.gateway.budget.HeldBody
 
 /** Dependencies that the [UpstreamAttempt]s of a process share. */
 internal class AttemptContext(
@@ -59,7 +60,7 @@
     private var isConnectionUnusable = false
     private var skippedBytes = 0
     private var mode = AnswerMode.HELD
-    private var heldBytes = Unpooled.compositeBuffer(MAX_HELD_PARTS)
+    private val held = HeldBody(ByteBufAllocator.DEFAULT, announcedBytes = null)
     private val events = EventSplitter()
     private val startedAt: Instant = context.clock.now()
     private var firstEvent: Duration? = null
@@ -249,6 +250,7 @@
 
     private fun onEvents(response: HttpResponse, content: ByteBuf) {
         val whole = events.append(content)
+        exchange.connection.holdAnswer(events.partialEventBytes.toLong())
         if (events.partialEventBytes > MAX_EVENT_BYTES) {
             fail(AttemptFailure.GARBLED)
             return
@@ -276,8 +278,9 @@
     }
 
     private fun hold(response: HttpResponse, content: ByteBuf) {
-        if (heldBytes.readableBytes() + content.readableBytes() <= MAX_HELD_BYTES) {
-            heldBytes.addComponent(true, content.retain())
+        if (held.size + content.readableBytes() <= MAX_HELD_BYTES) {
+            held.append(content)
+            exchange.connection.holdAnswer(held.allocatedBytes)
             return
         }
         if (isNotRun(response)) {
@@ -293,7 +296,7 @@
         }
         mode = AnswerMode.PASSED
         begin(response)
-        exchange.connection.write(heldBytes.retain())
+        exchange.connection.write(held.complete().retain())
         exchange.connection.write(content.retain())
     }
 
@@ -360,9 +363,10 @@
 
     private fun heldAnswer(response: HttpResponse): DefaultFullHttpResponse {
         val status = HttpResponseStatus.valueOf(response.status().code())
-        val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, heldBytes.retain())
+        val content = held.complete()
+        val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content.retain())
         copyEndToEnd(response.headers(), answer.headers())
-        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, heldBytes.readableBytes())
+        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
         return answer
     }
 
@@ -388,12 +392,13 @@
     private fun fail(cause: AttemptFailure, detail: String? = null) {
         end()
         connection?.close()
+        exchange.connection.holdAnswer(0)
         context.emit(GatewayEvent.AttemptLost(exchange.id, number, cause, detail))
     }
 
     private fun end() {
         isOver = true
-        heldBytes.release()
+        held.release()
     }
 
     private enum class AnswerMode {
@@ -414,7 +419,6 @@
 
         /** Longest answer that is buffered; longer ones are forwarded as they arrive. */
         const val MAX_HELD_BYTES = 262_144
-        const val MAX_HELD_PARTS = 64
 
         /** Limit on interim answers and answers to other requests; above it the attempt fails. */
         const val MAX_SKIPPED_BYTES = 1_048_576
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
@@ -74,6 +74,16 @@
             assertTrue((seen.header("X-Time-Left") ?: "0").toInt() in 4_000..5_000)
         }
 
+        /** Guards against a budget that refuses callers within the published limits. */
+        @Test
+        fun `accepts several bodies of the largest size at once`() {
+            val upstream = upstream { request, socket, _ -> socket.send(answer(request)) }
+            val gateway = gateway(upstream, limits = CallerLimits(maxBodyBytes = 4_194_304))
+            val message = request("safe", body = "x".repeat(4_194_304))
+            val replies = List(8) { CompletableFuture.supplyAsync { gateway.exchange(message) } }
+            replies.forEach { assertContains(it.get(20, TimeUnit.SECONDS), "200 OK") }
+        }
+
         @Test
         fun `accepts a chunked body`() {
             val upstream = upstream()
@@ -119,6 +129,34 @@
             assertContains(gateway.exchange(request("safe", body = "x".repeat(101))), " 413 ")
         }
 
+        /** Guards against bodies that are held for requests that are refused anyway. */
+        @Test
+        fun `need no body and can be read by a caller that still sends one`() {
+            val gateway = gateway(upstream(), limits = CallerLimits(maxBodyBytes = 2_000_000))
+            val head = request("other").replace("Content-Length: 0", "Content-Length: 1500000")
+            gateway.connect().use { socket ->
+                socket.send(head + "x".repeat(1_000_000))
+                assertContains(readAnswer(socket), "404 Not Found")
+            }
+            val wrong = head.replace("/other/", "/safe/").replace("secret", "wrong")
+            gateway.connect().use { socket ->
+                socket.send(wrong)
+                assertContains(readAnswer(socket), "401 Unauthorized")
+            }
+            val long = head.replace("1500000", "3000000")
+            gateway.connect().use { socket ->
+                socket.send(long + "x".repeat(1_000_000))
+                assertContains(readAnswer(socket), " 413 ")
+            }
+        }
+
+        /** Guards against heads that take far more memory than they have bytes. */
+        @Test
+        fun `of very many fields`() {
+            val fields = "a:b\r\n".repeat(1_000)
+            assertContains(gateway(upstream()).exchange(request("safe", fields)), " 431 ")
+        }
+
         @Test
         fun `of headers that come too slowly`() {
             val limits = CallerLimits(headerTimeout = 200.milliseconds)
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayMetricsPageTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayMetricsPageTest.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.log.LogEvent
+import org.shallotplank.gateway.budget.ShedCause
 
 class GatewayMetricsPageTest {
     @Nested
@@ -26,7 +27,9 @@
         val metrics = GatewayMetrics()
         metrics.countEvent(LogEvent.PROCESS_STARTED)
         metrics.ended(RequestOutcome.ANSWERED, 5.milliseconds)
-        val recorded = setOf(GatewayMetric.REQUESTS, GatewayMetric.LOG_EVENTS)
+        metrics.countShed(ShedCause.MEMORY)
+        val recorded =
+            setOf(GatewayMetric.REQUESTS, GatewayMetric.LOG_EVENTS, GatewayMetric.SHED)
         (GatewayMetric.entries - recorded).forEach { metrics.gauge(it) { 1 } }
         val names = metrics.scrape().lines().filter { it.startsWith("# TYPE ") }
             .map { it.split(' ')[2] }
