Bound the connections of readiness, directory, peers and metrics

Cause: HttpEndpoint had no limit of connections, answered pipelined requests without regard to unread answers, and had no limit of time except 30 s without a read.

Change: each address has a limit of its own, which is the reserve for the platform, operators and peers.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.encodeToByteArray
 import org.shallotplank.config.GatewayEntrySettings
+import org.shallotplank.gateway.http.EndpointLimits
 import org.shallotplank.gateway.http.EndpointRequest
 import org.shallotplank.gateway.http.HttpCall
 import org.shallotplank.gateway.http.HttpEndpoint
@@ -25,16 +26,27 @@
 ) {
     /** Starts listening; throws [java.io.IOException] if an address cannot be bound. */
     fun start() {
-        HttpEndpoint(group, settings.readinessAddress, ::readiness).start()
-        HttpEndpoint(group, settings.directoryAddress, ::entries).start()
-        HttpEndpoint(group, settings.peerAddress) { request, reply -> peer(request, reply) }.start()
+        val small = limits(SMALL_SHARE, SMALL_REQUEST_BYTES)
         val metricsAddress = settings.listenAddress.copy(port = settings.metricsPort)
-        HttpEndpoint(group, metricsAddress) { scrape() }.start()
+        HttpEndpoint(group, settings.readinessAddress, small, ::readiness).start()
+        HttpEndpoint(group, settings.directoryAddress, small, ::entries).start()
+        HttpEndpoint(group, metricsAddress, small) { scrape() }.start()
+        val large = limits(PEER_SHARE, PEER_REQUEST_BYTES)
+        val peers = HttpEndpoint(group, settings.peerAddress, large) { request, reply ->
+            peer(request, reply)
+        }
+        peers.start()
         metrics.gauge(GatewayMetric.STORE_AGE) {
             clusterView.storeAge.toDouble(DurationUnit.SECONDS)
         }
     }
 
+    private fun limits(share: Double, maxRequestBytes: Int) = EndpointLimits(
+        maxConnections = (settings.maxConnections * share).toInt().coerceAtLeast(MIN_CONNECTIONS),
+        maxRequestBytes = maxRequestBytes,
+        onShed = exchanges::countShed
+    )
+
     private fun readiness(request: EndpointRequest): HttpReply = when {
         request.path != wire.readinessPath -> HttpReply(NOT_FOUND)
         exchanges.state.isReady && !exchanges.state.isStopping -> HttpReply(OK)
@@ -79,6 +91,19 @@
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
 
+        /** Share of the connections for each of readiness, directory and metrics. */
+        const val SMALL_SHARE = 0.05
+
+        /** Share of the connections for other entries, each of which opens a few. */
+        const val PEER_SHARE = 0.25
+        const val MIN_CONNECTIONS = 16
+
+        /** Requests to readiness, directory and metrics have no body. */
+        const val SMALL_REQUEST_BYTES = 1_024
+
+        /** An order that another entry delegates takes a few kilobytes. */
+        const val PEER_REQUEST_BYTES = 65_536
+
         /** Callers use at most this many addresses of one answer. */
         const val MAX_ADDRESSES = 64
 
