Bound what a relay holds and how many connections it has

Cause: a relay buffered without limit what one side did not take, had no limit of connections, and closed none that only sent.

Change: it stops reading while the other side has 8 KB to send, serves 128 connections, replaces at this limit the one without an answer for longest, and resets a connection whose bytes are not taken for 5 s.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/relay/RankRelay.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/relay/RankRelay.kt
@@ -2,27 +2,28 @@
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.buffer.Unpooled
-import io.netty.channel.Channel
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.ChannelFutureListener
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.nio.NioIoHandler
-import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.timeout.ReadTimeoutHandler
-import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
+import kotlin.time.Clock
+import kotlin.time.TimeSource
 import org.shallotplank.core.Address
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
+import org.shallotplank.gateway.budget.ShedCause
+import org.shallotplank.gateway.budget.ShedLog
+import org.shallotplank.gateway.budget.connectionToReplace
 
 /**
  * Forwards bytes between keepers' connections and the engine on the same machine.
@@ -36,6 +37,9 @@
     private val log: (LogRecord) -> Unit
 ) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val timeSource = TimeSource.Monotonic
+    private val connections = LinkedHashSet<RelayedConnection>()
+    private val shedLog = ShedLog(count = {}, log = log, heldBytes = { 0 })
 
     /** Starts to listen; throws [java.io.IOException] if the address cannot be bound. */
     public fun start() {
@@ -44,13 +48,17 @@
             .channel(NioServerSocketChannel::class.java)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.AUTO_READ, false)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, reads())
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childHandler(
                 object : ChannelInitializer<SocketChannel>() {
-                    override fun initChannel(accepted: SocketChannel) = connect(accepted)
+                    override fun initChannel(created: SocketChannel) = accept(created)
                 }
             )
             .bind(InetSocketAddress(address.host, address.port))
             .sync()
+        group.scheduleAtFixedRate(::closeStalled, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS)
         log(
             logRecord(
                 LogEvent.PROCESS_STARTED,
@@ -66,24 +74,39 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
 
-    private fun connect(accepted: SocketChannel) {
+    private fun accept(accepted: SocketChannel) {
+        if (connections.size >= MAX_CONNECTIONS && !replaceOne()) {
+            accepted.close()
+            countShed(ShedCause.CONNECTIONS)
+            return
+        }
+        val connection = RelayedConnection(accepted, timeSource.markNow())
+        connections += connection
+        accepted.closeFuture().addListener { connections -= connection }
+        connect(accepted, connection)
+    }
+
+    private fun connect(accepted: SocketChannel, connection: RelayedConnection) {
         val opened = Bootstrap()
             .group(accepted.eventLoop())
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .option(ChannelOption.AUTO_READ, false)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, reads())
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark)
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(created: SocketChannel) {
-                        created.pipeline().addLast(ForwardingHandler(accepted))
+                        created.pipeline().addLast(ForwardingHandler(accepted, connection))
                     }
                 }
             )
             .connect(InetSocketAddress(engine.host, engine.port))
+        connection.engineSide = opened.channel()
         accepted.pipeline()
             .addLast(ReadTimeoutHandler(IDLE_SECONDS))
-            .addLast(ForwardingHandler(opened.channel()))
+            .addLast(ForwardingHandler(opened.channel(), connection))
         opened.addListener(
             ChannelFutureListener {
                 if (it.isSuccess) {
@@ -96,46 +119,39 @@
         )
     }
 
-    private companion object {
-        const val CONNECT_TIMEOUT_MILLIS = 500
+    /** Closes the connection that has forwarded nothing for longest, if that is long enough. */
+    private fun replaceOne(): Boolean {
+        val replaced = connectionToReplace(connections) { it.activity() } ?: return false
+        connections -= replaced
+        replaced.abort()
+        countShed(ShedCause.CONNECTIONS)
+        return true
+    }
 
-        /** Far above the time between requests of a keeper, which sends several per second. */
-        const val IDLE_SECONDS = 30
+    private fun closeStalled() {
+        connections.filter { it.isStalled() }.forEach {
+            it.abort()
+            countShed(ShedCause.SLOW_READER)
+        }
+        shedLog.write(Clock.System.now())
     }
-}
 
-/**
- * Forwards the bytes of one connection to the [other] one, and closes both together.
- *
- * An answer without a length ends with its connection, so the [other] one is closed in an orderly
- * way only after an end of input, and reset otherwise.
- */
-private class ForwardingHandler(private val other: Channel) : ChannelInboundHandlerAdapter() {
-    private var isInputEnded = false
+    private fun countShed(cause: ShedCause): Unit = shedLog.add(cause)
 
-    override fun handlerAdded(context: ChannelHandlerContext) {
-        context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-    }
+    private companion object {
+        const val CONNECT_TIMEOUT_MILLIS = 500
 
-    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-        if (event !is ChannelInputShutdownEvent) return
-        isInputEnded = true
-        other.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
-        context.close()
-    }
+        /** Far above the time between requests of a keeper, which sends several per second. */
+        const val IDLE_SECONDS = 30
 
-    override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (other.isActive) other.writeAndFlush(message) else ReferenceCountUtil.release(message)
-    }
+        /** Far above the keepers of one engine's group, which have two connections each. */
+        const val MAX_CONNECTIONS = 128
+        const val BACKLOG = 128
+        const val SWEEP_SECONDS = 1L
 
-    override fun channelInactive(context: ChannelHandlerContext) {
-        if (isInputEnded || !other.isOpen) return
-        other.config().setOption(ChannelOption.SO_LINGER, 0)
-        other.close()
-    }
+        /** All connections with full buffers take about 5 MB of 16 MB of direct memory. */
+        val waterMark = WriteBufferWaterMark(4_096, 8_192)
 
-    @Deprecated("Netty deprecates it in the base class")
-    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        context.close()
+        fun reads() = AdaptiveRecvByteBufAllocator(512, 2_048, 8_192)
     }
 }
