--- a/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
@@ -7,6 +7,8 @@
 private const val HOUR_SECONDS = 3_600
 private const val PORT_MAX = 65_535
 private const val MAX_POLLING_ENTRIES = 1_000
+private const val MAX_HELD_MEGABYTES = 65_536
+private const val MEGABYTE_BYTES = 1_048_576L
 private const val MAX_RETRY_SLACK = 1_000_000
 
 /** Keys of the settings of a gateway entry. */
@@ -110,6 +112,15 @@
             "length.",
         default = WorkRouting.AUTO
     )
+    val maxHeldMegabytes = KeySpec(
+        name = "max_held_megabytes",
+        rule = wholeNumber(1..MAX_HELD_MEGABYTES),
+        required = false,
+        doc =
+        "Memory that may be held for all callers together: heads, bodies and unread answers. " +
+            "Left out, it is a third of the heap, at most half of the direct memory. It should " +
+            "be at least four times `max_body_bytes` of the published limits."
+    )
     val table = TableSpec(
         name = "",
         shape = TableShape.ROOT,
@@ -133,7 +144,8 @@
             retrySlack,
             areFencesChecked,
             maxPollingEntries,
-            workBasedRouting
+            workBasedRouting,
+            maxHeldMegabytes
         )
     )
 }
@@ -168,6 +180,7 @@
     val areFencesChecked = read(GatewayKeys.areFencesChecked)
     val maxPollingEntries = read(GatewayKeys.maxPollingEntries)
     val workBasedRouting = read(GatewayKeys.workBasedRouting)
+    val maxHeldMegabytes = read(GatewayKeys.maxHeldMegabytes)
     return nullable {
         GatewayEntrySettings(
             instanceId = instanceId.bind(),
@@ -188,7 +201,8 @@
             retrySlack = retrySlack.bind(),
             areFencesChecked = areFencesChecked.bind(),
             maxPollingEntries = maxPollingEntries.bind(),
-            workBasedRouting = workBasedRouting.bind()
+            workBasedRouting = workBasedRouting.bind(),
+            maxHeldBytes = maxHeldMegabytes?.let { it * MEGABYTE_BYTES }
         )
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/WaitingTable.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/WaitingTable.kt
@@ -18,7 +18,8 @@
 /**
  * The table of requests that wait at this entry, by service and priority.
  *
- * Each row names the entry, so that it does not matter through whom another entry got it.
+ * Each row names the entry, so that it does not matter through whom another entry got it. The age
+ * of a row counts from when it was read at that entry, which hubs report.
  *
  * @param waiting the waiting requests of the services whose requests differ in priority.
  * @param onLearned called with what waits at another entry.
@@ -31,15 +32,15 @@
     log: (LogRecord) -> Unit
 ): PeerTable {
     val versions = WaitingVersions(clock)
+    fun learn(rows: List<StoreRow>, readAt: Instant) = rows.mapNotNull { decode(it, log) }
+        .groupBy { it.entry }
+        .forEach { (entry, services) -> onLearned(learned(entry, services, readAt)) }
     return PeerTable(
         name = WAITING,
         version = { versions.versionOf(waiting()) },
         rows = { waiting().map { (service, counts) -> encode(own, service, counts) } },
-        learn = { rows ->
-            rows.mapNotNull { decode(it, log) }
-                .groupBy { it.entry }
-                .forEach { (entry, services) -> onLearned(learned(entry, services, clock.now())) }
-        }
+        learn = { learn(it, clock.now()) },
+        learnFrom = { learn(it.rows, it.readAt) }
     )
 }
 
@@ -80,11 +81,11 @@
     null
 }
 
-private fun learned(entry: String, services: List<WaitingRow>, now: Instant) =
+private fun learned(entry: String, services: List<WaitingRow>, readAt: Instant) =
     GatewayEvent.WaitingLearned(
         entry = InstanceId(entry),
         waiting = services.associate { row ->
-            val observedAt = now - row.ageMillis.milliseconds
+            val observedAt = readAt - row.ageMillis.milliseconds
             ServiceName(row.service) to
                 WaitingRequests(row.byPriority.toPersistentMap(), observedAt)
         }.toPersistentMap()
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/WorkTable.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/WorkTable.kt
@@ -37,15 +37,16 @@
     log: (LogRecord) -> Unit
 ): PeerTable {
     val versions = WorkVersions()
+    fun learn(rows: List<StoreRow>, readAt: Instant) = rows
+        .mapNotNull { decode(it, readAt, log) }
+        .filter { it.entry != own }
+        .forEach(onLearned)
     return PeerTable(
         name = WORK,
         version = { versions.versionOf(work(), clock.now()) },
         rows = { listOfNotNull(work()?.let { encode(own, it, clock.now()) }) },
-        learn = { rows ->
-            rows.mapNotNull { decode(it, clock.now(), log) }
-                .filter { it.entry != own }
-                .forEach(onLearned)
-        }
+        learn = { learn(it, clock.now()) },
+        learnFrom = { learn(it.rows, it.readAt) }
     )
 }
 
@@ -104,7 +105,7 @@
 
 private fun decode(
     row: StoreRow,
-    now: Instant,
+    readAt: Instant,
     log: (LogRecord) -> Unit
 ): GatewayEvent.WorkLearned? = try {
     val decoded = peerTableJson.decodeFromString<WorkRow>(row.value)
@@ -112,7 +113,7 @@
     GatewayEvent.WorkLearned(
         InstanceId(decoded.entry),
         ReportedWork(
-            reportedAt = now - age,
+            reportedAt = readAt - age,
             lengths = decoded.lengths.associate {
                 ServiceName(it.service) to
                     LengthMoments(it.weight, it.sum, it.squares, it.observed)
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayMetricsPageTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayMetricsPageTest.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.log.LogEvent
+import org.shallotplank.gateway.budget.ShedCause
 
 class GatewayMetricsPageTest {
     @Nested
@@ -27,8 +28,13 @@
         metrics.countEvent(LogEvent.PROCESS_STARTED)
         metrics.ended(RequestOutcome.ANSWERED, 5.milliseconds)
         metrics.countPeerCall("/peer/report")
-        val recorded =
-            setOf(GatewayMetric.REQUESTS, GatewayMetric.LOG_EVENTS, GatewayMetric.PEER_CALLS)
+        metrics.countShed(ShedCause.MEMORY)
+        val recorded = setOf(
+            GatewayMetric.REQUESTS,
+            GatewayMetric.LOG_EVENTS,
+            GatewayMetric.PEER_CALLS,
+            GatewayMetric.SHED
+        )
         (GatewayMetric.entries - recorded).forEach { metrics.gauge(it) { 1 } }
         val names = metrics.scrape().lines().filter { it.startsWith("# TYPE ") }
             .map { it.split(' ')[2] }
