--- a/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionQueue.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionQueue.kt
@@ -104,12 +104,9 @@
      * Sets what waits at other entries; null if all requests have the same priority, so that no
      * capacity is reserved.
      */
-    public fun withUrgency(elsewhere: ElsewhereWaiting?, now: Instant): AdmissionQueue {
-        if (elsewhere == null) return copy(urgency = null)
-        val known = urgency ?: Urgency()
-        val window = known.window.at(now, running.size)
-        return copy(urgency = known.copy(elsewhere = elsewhere, window = window))
-    }
+    public fun withUrgency(elsewhere: ElsewhereWaiting?): AdmissionQueue = copy(
+        urgency = elsewhere?.let { (urgency ?: Urgency()).copy(elsewhere = it) }
+    )
 
     /** Removes the running or waiting request [id]; unknown ids change nothing. */
     public fun release(id: RequestId, now: Instant, random: Random): AdmissionStep =
--- a/core/src/main/kotlin/org/shallotplank/core/admission/Urgency.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/Urgency.kt
@@ -33,15 +33,13 @@
  * @property at time as of which the counts are decayed.
  * @property admissionsInOrder admissions since the last one out of the order of urgency.
  * @property elsewhere requests that wait at other entries.
- * @property window bound on the growth of the number of running requests.
  */
 internal data class Urgency(
     val arrivals: PersistentMap<Priority, Double> = persistentMapOf(),
     val admissions: PersistentMap<Priority, Double> = persistentMapOf(),
     val at: Instant = Instant.DISTANT_PAST,
     val admissionsInOrder: Int = 0,
-    val elsewhere: ElsewhereWaiting = ElsewhereWaiting(),
-    val window: GrowthWindow = GrowthWindow()
+    val elsewhere: ElsewhereWaiting = ElsewhereWaiting()
 ) {
     fun afterArrival(priority: Priority, now: Instant): Urgency = decayed(now).let {
         it.copy(arrivals = it.arrivals.increased(priority))
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -17,29 +17,43 @@
 
 /** The admission queue of [service], with the current capacity of its upstreams. */
 internal fun GatewayState.queueOf(service: ServiceName, context: GatewayContext): AdmissionQueue {
-    val usable = upstreamsOf(service).filter { isInService(it) && it.isUsable(context.now) }
-    val slots = usable.sumOf { usableSlots(it, context) }
-    val maxRunning = settings.policies.maxRunning(this, service, slots)
-    val guaranteed = ceil(maxRunning.toDouble() / entryCount * GUARANTEED_SHARE).toInt()
-    val queue = (queues[service] ?: AdmissionQueue(capacity = 0, MAX_QUEUED))
-        .withUrgency(elsewhereOf(service, guaranteed, context.now), context.now)
-    val free = maxRunning - usable.sumOf { it.othersOutstanding }
-    val limit = queue.urgency?.window?.limit(free, maxRunning / entryCount, entryCount) ?: free
-    return queue.copy(
-        capacity = capacityOf(limit, guaranteed, context),
-        maxQueued = MAX_QUEUED
-    )
+    val capacity = capacityOf(service, context)
+    val queue = queues[service]?.copy(capacity = capacity, maxQueued = MAX_QUEUED)
+        ?: AdmissionQueue(capacity, MAX_QUEUED)
+    return queue.withUrgency(elsewhereOf(service, guaranteedOf(service, context), context.now))
 }
 
 /**
- * Number of requests of a service that this entry may have in flight at once.
+ * Number of requests of [service] that this entry may have in flight at once.
  *
- * [free] is what the requests of other entries leave. [GUARANTEED_SHARE] of an equal share,
- * [guaranteed], always remains, so that outdated reports cannot take all capacity from an entry.
- * While the entry discovers its peers, only that share is available.
+ * The requests that other entries have in flight are subtracted. [GUARANTEED_SHARE] of an equal
+ * share always remains, so that outdated reports cannot take all capacity from an entry. While the
+ * entry discovers its peers, only that share is available.
  */
-private fun GatewayState.capacityOf(free: Int, guaranteed: Int, context: GatewayContext): Int =
-    if (isDiscoveringPeers(context)) guaranteed else maxOf(free, guaranteed)
+private fun GatewayState.capacityOf(service: ServiceName, context: GatewayContext): Int {
+    val usable = usableUpstreamsOf(service, context)
+    val others = usable.sumOf { it.othersOutstanding }
+    val maxRunning = maxRunningOf(service, context)
+    val share = guaranteedOf(service, context)
+    return if (isDiscoveringPeers(context)) share else maxOf(maxRunning - others, share)
+}
+
+/** Number of requests of [service] that this entry may have in flight whatever others report. */
+private fun GatewayState.guaranteedOf(service: ServiceName, context: GatewayContext): Int =
+    ceil(maxRunningOf(service, context).toDouble() / entryCount * GUARANTEED_SHARE).toInt()
+
+private fun GatewayState.usableUpstreamsOf(
+    service: ServiceName,
+    context: GatewayContext
+): List<GatewayUpstream> = upstreamsOf(service).filter {
+    isInService(it) && it.isUsable(context.now)
+}
+
+/** Number of requests of [service] that all entries together may have in flight at once. */
+private fun GatewayState.maxRunningOf(service: ServiceName, context: GatewayContext): Int {
+    val slots = usableUpstreamsOf(service, context).sumOf { usableSlots(it, context) }
+    return settings.policies.maxRunning(this, service, slots)
+}
 
 /** Slots of [upstream], of which a limit on its requests may leave some without use. */
 private fun GatewayState.usableSlots(upstream: GatewayUpstream, context: GatewayContext): Int {
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -150,13 +150,13 @@
 internal fun GatewayState.resizeQueues(context: GatewayContext): GatewayStep =
     queues.keys.fold(GatewayStep(this)) { step, service ->
         step.then { state ->
-            val queue = state.queueOf(service, context)
-            val isSettled = queue.waitingCount == 0 &&
-                queue.capacity == state.queues.getValue(service).capacity
+            val queue = state.queues.getValue(service)
+            val capacity = state.queueOf(service, context).capacity
+            val isSettled = queue.capacity == capacity && queue.waitingCount == 0
             if (isSettled) {
                 Step(state)
             } else {
-                val resized = queue.resize(queue.capacity, context.now, context.random)
+                val resized = queue.resize(capacity, context.now, context.random)
                 state.applyAdmission(service, resized, context)
             }
         }
