Keep hubs asking each other, and take tables from hubs with the right times

Found by a review of the exchange, by reading: - After one failed call a hub did not ask another hub for 2 s, in which the reports of that hub's members expired: nobody else passes them on. Hubs now ask again after the usual interval. - A member applied the removals of an outage before it learned from its hub that the store had just returned, so that rows that had expired meanwhile counted as departures without their grace. - A copy could be used for 600 ms beyond the 2 s for which a contact with the store counts. - A report could be dated after it was made if the process stopped between the two. - An exception in a reader of a table ended the exchange of an entry for good. - Versions of crash tables of are counters, which were taken for digests.

mvn verify of core, config, gateway and platform passes; no test of its own yet.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/StoreTables.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/StoreTables.kt
@@ -182,12 +182,13 @@
     private suspend fun use(table: SuppliedTable, sentAt: Instant, hub: HttpClient) {
         val follower = followers[table.name]?.takeIf { it.replica.isRead } ?: return
         val contactAt = sentAt - table.contactAgeMillis.milliseconds
-        if (clock.now() - contactAt >= STALENESS_BOUND || !reach(follower, table, hub)) return
-        val returnedAge = table.returnedAgeMillis?.milliseconds
+        if (clock.now() - contactAt >= STALENESS_BOUND) return
+        // Before the changes: rows that expired in an outage are not taken for departures.
+        table.returnedAgeMillis?.let { follower.onSupplierReturned(sentAt - it.milliseconds) }
+        if (!reach(follower, table, hub) || clock.now() - contactAt >= STALENESS_BOUND) return
         follower.onSupplied(
             contactAt = contactAt,
-            supplierReturnedAt = returnedAge?.let { sentAt - it } ?: Instant.DISTANT_PAST,
-            until = clock.now() + SUPPLY_TIME
+            until = minOf(clock.now() + SUPPLY_TIME, contactAt + STALENESS_BOUND)
         )
     }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
@@ -6,6 +6,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
@@ -151,9 +152,9 @@
     private suspend fun takeMembers(hub: Address) {
         val link = HubLink(context.group, hub)
         try {
-            // A failure removes the hub from the plan, which cancels this job.
+            // The plan drops a hub whose report has become too old, which cancels this job.
             while (true) {
-                if (!caller.ask(link, isHub = true)) replan()
+                if (!isAnswered { caller.ask(link, isHub = true) }) replan()
                 delay(interval())
             }
         } finally {
@@ -169,11 +170,24 @@
                 link?.client?.close()
                 link = source?.let { HubLink(context.group, it) }
             }
-            val isAnswered = link == null || caller.ask(link, isHub = false)
-            if (isAnswered) delay(if (link == null) PLAN_INTERVAL else interval()) else replan()
+            val hub = link
+            val isDone = hub == null || isAnswered { caller.ask(hub, isHub = false) }
+            if (isDone) delay(if (link == null) PLAN_INTERVAL else interval()) else replan()
         }
     }
 
+    /** Returns false after an exception, so that one message cannot end the exchange. */
+    private suspend fun isAnswered(ask: suspend () -> Boolean): Boolean = try {
+        ask()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        val place = e.stackTrace.firstOrNull()
+        context.log(logRecord(LogEvent.INTERNAL_ERROR, "error" to e, "place" to place))
+        delay(INTERVAL)
+        false
+    }
+
     /** Spread, so that the calls of all members do not stay in step. */
     private fun interval() = INTERVAL * (1.0 - JITTER * context.random.nextDouble())
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
@@ -63,7 +63,7 @@
             ?.let { decodeAnswer(it.body, ::logUnreadable) }
         val content = answer?.let { decodeContent(it.content, ::logUnreadable) }
         if (content == null) {
-            onFailure(link.address, reply)
+            onFailure(link.address, reply, isHub)
             return null
         }
         link.onAnswer(answer, clock.now())
@@ -75,12 +75,13 @@
 
     @OptIn(ExperimentalSerializationApi::class)
     private fun request(link: HubLink, isHub: Boolean): ByteArray {
+        val madeAt = clock.now()
         fun encode(tables: List<EntryTable>) = ExchangeRequest(
             address = context.ownAddress.toString(),
             report = Cbor.encodeToByteArray(context.report()),
             tables = tables,
             isHub = isHub,
-            basis = link.basis(clock.now())
+            basis = link.basis(madeAt)
         ).encode()
         // The hub fetches tables that do not fit.
         return encode(tables.ownTables()).takeIf { it.size <= MAX_REQUEST_BYTES }
@@ -99,12 +100,13 @@
         }
     }
 
-    private fun onFailure(hub: Address, reply: HttpReply?) {
+    /** Hubs keep asking another hub, since nobody else passes on the reports of its members. */
+    private fun onFailure(hub: Address, reply: HttpReply?, isHub: Boolean) {
         val view = peers.view(hub) ?: return
         val now = clock.now()
         if (reply?.status == NOT_FOUND) {
             view.withoutExchangeUntil = now + WITHOUT_EXCHANGE_TIME
-        } else {
+        } else if (!isHub) {
             view.avoidedUntil = now + AVOID_TIME
         }
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerTables.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerTables.kt
@@ -136,6 +136,7 @@
 
     /** Whether to fetch [version] at [now], which counts as done. */
     fun takeIfWanted(version: Long, now: Instant): Boolean {
+        if (version < DIGEST_BIT) return true
         if (version in known || now - fetchedAt < MIN_INTERVAL) return false
         fetchedAt = now
         return true
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PromptCrashTable.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PromptCrashTable.kt
@@ -68,7 +68,7 @@
             add(crash.parts.map { it.value }.sorted())
             add(crash.establishedParts.map { it.value }.sorted())
         }
-        return ByteBuffer.wrap(sha.digest()).getLong() and Long.MAX_VALUE
+        return (ByteBuffer.wrap(sha.digest()).getLong() and Long.MAX_VALUE) or DIGEST_BIT
     }
 }
 
@@ -102,5 +102,8 @@
     val establishedParts: List<String> = emptyList()
 )
 
+/** Set in digests, which equal entries share; earlier builds count versions up from 1. */
+internal const val DIGEST_BIT = 1L shl 62
+
 /** Name of the table of crashes. */
 internal const val PROMPT_CRASHES = "prompt-crashes"
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
@@ -135,13 +135,17 @@
      * @param contactAt start of a call that the store answered that entry; this copy is as recent.
      * @param supplierReturnedAt see [returnedAt].
      */
-    public fun onSupplied(contactAt: Instant, supplierReturnedAt: Instant, until: Instant) {
+    public fun onSupplied(contactAt: Instant, until: Instant) {
         suppliedUntil = until
         answeredAt = maxOf(answeredAt, contactAt)
-        returnedAt = maxOf(returnedAt, supplierReturnedAt)
         onRegained()
     }
 
+    /** Records when the process that supplies the copy found the store answering again. */
+    public fun onSupplierReturned(at: Instant) {
+        returnedAt = maxOf(returnedAt, at)
+    }
+
     /** Reads from the store again at once, such as after a suspension. */
     public fun endSupply() {
         suppliedUntil = Instant.DISTANT_PAST
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/SuppliedTableTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/SuppliedTableTest.kt
@@ -113,9 +113,11 @@
         @Test
         fun `is as recent as the hub's contact, not as the answer`() {
             val member = follower(2, kept)
-            member.onSupplied(now - 700.milliseconds, Instant.DISTANT_PAST, now + 1.seconds)
+            member.onSupplierReturned(Instant.DISTANT_PAST)
+            member.onSupplied(now - 700.milliseconds, now + 1.seconds)
             assertEquals(now - 700.milliseconds, member.answeredAt)
-            member.onSupplied(now - 900.milliseconds, now - 1.seconds, now + 1.seconds)
+            member.onSupplierReturned(now - 1.seconds)
+            member.onSupplied(now - 900.milliseconds, now + 1.seconds)
             assertEquals(now - 700.milliseconds, member.answeredAt)
             assertEquals(now - 1.seconds, member.returnedAt)
         }
