Send moved streams to free upstreams only, and deliver an answer if its retry is not sent

Found by a review, by reading. A moved stream went to the upstream of the lowest cost, which may be full and end it with its last attempt. A held failure was replaced by 502 if no upstream was left and another waiting request was sent in its place. The events of a moved stream counted as not received. The work left at an upstream was computed for the log with every request, also where it does not decide, which takes time with many open requests.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -152,7 +152,8 @@
         "others_outstanding" to chosen.othersOutstanding,
         "slots" to chosen.record.slots,
         "expected_ms" to call.cost?.total?.inWholeMilliseconds,
-        "work_left_ms" to call.cost
+        // Costs time with many open requests, so only where it decides.
+        "work_left_ms" to call.cost?.takeIf { usesWork(call.service) }
             ?.let { loadAt(chosen, call, context.now).timeLeft.inWholeMilliseconds },
         "by_work" to usesWork(call.service),
         "time_left_ms" to send.timeLeft.inWholeMilliseconds,
@@ -168,7 +169,15 @@
     call: GatewayCall,
     context: GatewayContext
 ): GatewayUpstream? {
-    val eligible = eligibleUpstreams(call, context).withoutSlow()
+    val notSlow = eligibleUpstreams(call, context).withoutSlow()
+    val eligible =
+        if (call.isMoved) {
+            notSlow.filter {
+                it.hasFreeSlot(context)
+            }.ifEmpty { notSlow }
+        } else {
+            notSlow
+        }
     // Expected memory is an estimate, so it excludes no upstream if it would exclude all of them.
     return eligible.filter { hasMemoryFor(it, call, context.now) }
         .ifEmpty { eligible }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayOutcomes.kt
@@ -102,7 +102,7 @@
     val retriedCall = open.callWithoutAttempt().copy(mayHaveRun = true)
     val candidate = put(retriedCall).update(open.sent.upstream) { it.ended() }
     val retried = candidate.logged(record).then { it.retry(retriedCall, context) }
-    val isSent = retried.effects.any { it is GatewayEffect.Send }
+    val isSent = retried.effects.any { it.isSendOf(call) }
     return if (isSent) retried else effect(GatewayEffect.DeliverHeld(event.requestId))
 }
 
@@ -239,6 +239,10 @@
     return counted.dispatch(call, context, reason)
 }
 
+/** Whether this sends [call], and not a call that was admitted in its place. */
+internal fun GatewayEffect.isSendOf(call: GatewayCall): Boolean =
+    this is GatewayEffect.Send && requestId == call.request.id
+
 private fun attemptFailedRecord(
     open: OpenAttempt,
     cause: String,
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/MovedStreams.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/MovedStreams.kt
@@ -82,6 +82,7 @@
     val moved = call.copy(
         phase = GatewayPhase.Queued,
         excluded = call.excluded.add(from.record.id),
+        earlierEvents = call.earlierEvents + sent.events,
         mayHaveRun = true,
         isMoved = true
     )
@@ -103,15 +104,15 @@
     }
     val step = Step(withdrawn, persistentListOf(cancel, GatewayEffect.Log(record)))
         .then { it.retry(moved, context) }
-    return step.takeIf { it.effects.any { effect -> effect is GatewayEffect.Send } }
+    return step.takeIf { it.effects.any { effect -> effect.isSendOf(call) } }
 }
 
 private fun GatewayState.hasFreeSlotFor(call: GatewayCall, context: GatewayContext): Boolean =
-    eligibleUpstreams(call, context).any {
-        !it.isAtSlowLimit &&
-            it.totalOutstanding < it.record.slots &&
-            context.now >= it.fullUntil
-    }
+    eligibleUpstreams(call, context).any { it.hasFreeSlot(context) }
+
+/** Whether a stream that is moved may go to this upstream, which must not turn it away. */
+internal fun GatewayUpstream.hasFreeSlot(context: GatewayContext): Boolean =
+    !isAtSlowLimit && totalOutstanding < record.slots && context.now >= fullUntil
 
 /** Iterations after which a slowdown is no passing one. */
 private const val LASTING_ITERATIONS = 3
