Pass on the configured priority where a service has only one

Engines got priority 0 in place of 1 where all requests have one priority, so that requests of new entries would overtake those of earlier builds during an upgrade. Found by a review.

--- a/core/src/main/kotlin/org/shallotplank/core/gateway/RequestPriorities.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/RequestPriorities.kt
@@ -6,8 +6,8 @@
 /**
  * Priority of a request among those of its service.
  *
- * @property level position among the priorities that the service's requests can have; 0 is the
- *   most urgent.
+ * @property level position among the priorities that the service's requests can have, or the
+ *   configured number if there is only one; lower is more urgent.
  * @property admission class in which the request is admitted.
  */
 internal data class RequestPriority(val level: Int, val admission: Priority)
@@ -38,6 +38,8 @@
     /** The priority of requests on [route] at [service]; [holder] is null without a customer. */
     fun of(route: Route, holder: CredentialHolder?, service: ServiceName): RequestPriority {
         val pairs = ordered[service].orEmpty()
+        // A single priority is passed on as configured.
+        if (pairs.size <= 1) return RequestPriority(pairOf(route, holder).customer, ONLY_CLASS)
         val level = pairs.indexOf(pairOf(route, holder)).coerceAtLeast(0)
         val classes = Priority.entries
         val index = if (pairs.size <= classes.size) level else level * classes.size / pairs.size
@@ -48,4 +50,8 @@
         PriorityPair(customer = holder?.priority ?: route.priority, route = route.priority)
 
     private data class PriorityPair(val customer: Int, val route: Int)
+
+    private companion object {
+        val ONLY_CLASS = Priority.entries.first()
+    }
 }
