Serve a request of very many fields inside the header limit

A head of 16 KB with more than 512 fields got 431, though it is inside the published limits, and a single request inside them has to be served.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerServer.kt
@@ -23,7 +23,7 @@
 import org.shallotplank.gateway.budget.MemoryBudget
 import org.shallotplank.gateway.budget.connectionToReplace
 import org.shallotplank.gateway.http.CountedHeadersFactory
-import org.shallotplank.gateway.http.MAX_FIELDS
+import org.shallotplank.gateway.http.maxFieldsIn
 
 /** Listens for callers and keeps track of their connections. */
 internal class CallerServer(
@@ -70,7 +70,7 @@
             created.close()
             return
         }
-        val fields = CountedHeadersFactory(MAX_FIELDS)
+        val fields = CountedHeadersFactory(maxFieldsIn(listener.limits.maxHeaderBytes))
         val connection = CallerConnection(created, listener, clock, budget, fields)
         connections += connection
         created.closeFuture().addListener { connections -= connection }
@@ -132,7 +132,7 @@
             .setMaxHeaderSize(maxHeaderBytes)
             .setMaxChunkSize(MAX_CHUNK_BYTES)
             .setHeadersFactory(fields)
-            .setTrailersFactory(CountedHeadersFactory(MAX_FIELDS))
+            .setTrailersFactory(CountedHeadersFactory(maxFieldsIn(maxHeaderBytes)))
     ) {
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both a length and chunks")
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/CountedHeaders.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/CountedHeaders.kt
@@ -9,7 +9,7 @@
  * Headers that accept at most [maxFields] fields from the decoder.
  *
  * A field takes about [FIELD_BYTES] beyond its characters, so that a head of very many short fields
- * takes far more memory than it has bytes.
+ * takes far more memory than it has bytes. [weightBytes] counts in the memory budget.
  */
 internal class CountedHeaders(private val maxFields: Int) : DefaultHttpHeaders() {
     private var fields = 0
@@ -44,5 +44,8 @@
     override fun newEmptyHeaders(): HttpHeaders = newHeaders()
 }
 
-/** A head of 16 KB with this many fields has 32 bytes for each. */
-internal const val MAX_FIELDS = 512
+/** Largest number of fields in a head of [maxHeaderBytes]. */
+internal fun maxFieldsIn(maxHeaderBytes: Int): Int = maxHeaderBytes / MIN_FIELD_BYTES
+
+/** A name of one letter, a colon and the line end. */
+private const val MIN_FIELD_BYTES = 4
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpEndpoint.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpEndpoint.kt
@@ -137,6 +137,9 @@
     private fun closeOverdue(): Unit = connections.forEach { it.closeIfOverdue() }
 
     private companion object {
+        /** Clients of these interfaces send a few fields. */
+        const val MAX_FIELDS = 512
+
         const val MIN_READ_BYTES = 512
         const val FIRST_READ_BYTES = 2_048
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/caller/CallerConnectionFuzz.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/caller/CallerConnectionFuzz.kt
@@ -25,7 +25,6 @@
 import org.shallotplank.gateway.budget.MemoryBudget
 import org.shallotplank.gateway.budget.ShedCause
 import org.shallotplank.gateway.http.CountedHeadersFactory
-import org.shallotplank.gateway.http.MAX_FIELDS
 
 /**
  * Sends random valid, cut, slow and invalid requests to the decoder and connection of callers.
@@ -57,6 +56,9 @@
     setOf("request", "400", "408", "413", "431", "503", "MEMORY", "FIELDS", "PIPELINED") +
         "SLOW_READER"
 
+/** Lower than a head of the limit can reach, so that the bound on fields is reached. */
+private const val MAX_FIELDS = 512
+
 private class FuzzedConnection(private val seed: Long, private val count: (String) -> Unit) :
     CallerListener {
     private val random = Random(seed)
