--- a/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewayEntrySettings.kt
@@ -48,7 +48,7 @@
     val areFencesChecked: Boolean = true,
     /** Registered entries up to which each entry polls all others; more use hubs. */
     val maxPollingEntries: Int = 24,
-    /** Whether upstreams are chosen by the work that they have left. */
+    /** Whether upstreams are chosen by expected work. */
     val workBasedRouting: WorkRouting = WorkRouting.AUTO,
     /** Bytes that may be held for callers; null derives them from the JVM's limits. */
     val maxHeldBytes: Long? = null
--- a/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
+++ b/config/src/main/kotlin/org/shallotplank/config/GatewaySettingsKeys.kt
@@ -107,8 +107,8 @@
         name = "work_based_routing",
         rule = choice<WorkRouting>(),
         doc =
-        "Whether upstreams are chosen by the work that they have left instead of the number " +
-            "of their requests. With `auto`, for model services whose answers differ widely in " +
+        "Whether upstreams are chosen by expected work instead of the number of " +
+            "requests. With `auto`, for model services whose answers differ widely in " +
             "length.",
         default = WorkRouting.AUTO
     )
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewaySettings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewaySettings.kt
@@ -15,7 +15,7 @@
  * @property retrySlack retries per window beyond [retryRatio] that all entries together may make.
  * @property reregistrationGrace time that an upstream whose row expired during an outage of the
  *   store has to register again.
- * @property workRouting whether upstreams are chosen by the work that they have left.
+ * @property workRouting whether upstreams are chosen by expected work.
  * @property policies the decisions that the entry uses.
  */
 public data class GatewaySettings(
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayWork.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayWork.kt
@@ -38,7 +38,7 @@
     val memoryTokens: Double
 )
 
-/** Whether upstreams of [service] are chosen by the work that they have left. */
+/** Whether upstreams of [service] are chosen by expected work. */
 public fun GatewayState.usesWork(service: ServiceName): Boolean = when (settings.workRouting) {
     WorkRouting.ON -> true
     WorkRouting.OFF -> false
--- a/core/src/main/kotlin/org/shallotplank/core/work/WorkEstimates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/work/WorkEstimates.kt
@@ -15,7 +15,7 @@
 import org.shallotplank.core.ServiceName
 import org.shallotplank.core.gateway.UpstreamKey
 
-/** Whether upstreams are chosen by the work that they have left. */
+/** Whether upstreams are chosen by expected work. */
 public enum class WorkRouting {
     /** For model services whose answers differ so much in length that counting misjudges load. */
     AUTO,
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
@@ -105,7 +105,7 @@
     ),
     SERVICES_BY_WORK(
         "shallotplank.gateway.work.services",
-        "Services whose upstreams are chosen by the work that they have left"
+        "Services whose upstreams are chosen by expected work"
     ),
     READY("shallotplank.gateway.ready", "1 while the entry is ready, else 0")
 }
