--- a/core/src/test/kotlin/org/shallotplank/core/gateway/RequestPrioritiesTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/RequestPrioritiesTest.kt
@@ -63,6 +63,8 @@
         fun `and routes of one priority make one class of requests`() {
             val table = table(listOf(route(2)), listOf(1))
             assertEquals(emptySet(), table.servicesOfSeveralPriorities)
+            // Engines get the same number from entries of earlier builds.
+            assertEquals(1, table.priorityOf(route(2), holder(1), service).level)
         }
     }
 
