Free the fields of a head whose request is refused

Since heads of more than 512 fields are inside the limits, each may hold half a megabyte. The decoder and the factory kept the fields of a refused request while its connection stayed open for the caller to read the answer, after they had left the budget. They are cleared now, and a field counts as 320 bytes in place of 160, since parsing takes as much again.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
@@ -369,6 +369,8 @@
         arriving?.body?.release()
         arriving = null
         pending.release()
+        // The connection may stay open for a while to let the caller read its answer.
+        if (!isAnswerOpen) fields.clearLatest()
         headerStartedAt = null
         share.set(HeldFor.HEAD, 0)
         share.set(HeldFor.PIPELINED, 0)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/CountedHeaders.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/CountedHeaders.kt
@@ -8,8 +8,8 @@
 /**
  * Headers that accept at most [maxFields] fields from the decoder.
  *
- * A field takes about [FIELD_BYTES] beyond its characters, so that a head of very many short fields
- * takes far more memory than it has bytes. [weightBytes] counts in the memory budget.
+ * A field takes about [FIELD_BYTES] beyond its characters while it is parsed, so that a head of
+ * many short fields takes far more memory than it has bytes. [weightBytes] counts in the budget.
  */
 internal class CountedHeaders(private val maxFields: Int) : DefaultHttpHeaders() {
     private var fields = 0
@@ -25,7 +25,7 @@
     }
 
     companion object {
-        const val FIELD_BYTES = 160L
+        const val FIELD_BYTES = 320L
     }
 }
 
@@ -39,6 +39,12 @@
     var latest: CountedHeaders? = null
         private set
 
+    /** Frees the memory of the fields, which the decoder holds on to until the body has ended. */
+    fun clearLatest() {
+        latest?.clear()
+        latest = null
+    }
+
     override fun newHeaders(): HttpHeaders = CountedHeaders(maxFields).also { latest = it }
 
     override fun newEmptyHeaders(): HttpHeaders = newHeaders()
