--- a/gateway/src/main/kotlin/org/shallotplank/gateway/budget/ConnectionActivity.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/budget/ConnectionActivity.kt
@@ -16,9 +16,7 @@
     /** Time for which a request has been arriving, null if none is. */
     val arrivingFor: Duration? = null,
     /** Bytes of that request so far. */
-    val arrivedBytes: Long = 0,
-    /** Answers per second since it was opened, 0 while it must not be replaced for them. */
-    val answersPerSecond: Double = 0.0
+    val arrivedBytes: Long = 0
 )
 
 /** Whether a request arrives more slowly than [MIN_BYTES_PER_SECOND] after [grace]. */
@@ -30,27 +28,16 @@
 /**
  * Returns which of [connections] is closed for a new one when no more may be open, null if none.
  *
- * Closing connections come first, then those with the slowest request, then idle ones, then the one
- * that gets most answers per second. A connection with a running request or with a request that
- * arrives fast enough is kept.
+ * Closing connections come first, then those with the slowest request, then idle ones. A connection
+ * with a running request or with a request that arrives fast enough is kept.
  */
 internal fun <T> connectionToReplace(
     connections: Iterable<T>,
     activityOf: (T) -> ConnectionActivity
-): T? {
-    val activities = connections.map { it to activityOf(it) }
-    return activities
-        .mapNotNull { (connection, activity) -> replaceRank(activity)?.let { connection to it } }
-        .maxByOrNull { it.second }
-        ?.first
-        ?: activities
-            .filter { (_, activity) -> activity.isBetweenRequests && activity.answersPerSecond > 0 }
-            .maxByOrNull { (_, activity) -> activity.answersPerSecond }
-            ?.first
-}
-
-private val ConnectionActivity.isBetweenRequests: Boolean
-    get() = !isRunning && arrivingFor == null
+): T? = connections
+    .mapNotNull { connection -> replaceRank(activityOf(connection))?.let { connection to it } }
+    .maxByOrNull { it.second }
+    ?.first
 
 private fun replaceRank(activity: ConnectionActivity): Duration? = when {
     activity.isClosing -> CLOSING_RANK
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/EndpointConnection.kt
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.QueryStringDecoder
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit.SECONDS
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 import org.shallotplank.gateway.budget.ConnectionActivity
@@ -31,8 +30,6 @@
     private class Waiting(val request: EndpointRequest, val isKept: Boolean)
 
     private val waiting = ArrayDeque<Waiting>()
-
-    @Volatile
     private var isAnswering = false
 
     @Volatile
@@ -50,22 +47,13 @@
     @Volatile
     private var arrivedBytes = 0L
 
-    @Volatile
-    private var answers = 0L
-    private val openedAt: TimeMark = TimeSource.Monotonic.markNow()
-
     fun activity(): ConnectionActivity = ConnectionActivity(
         isClosing = isClosing,
         silence = lastActiveAt.elapsedNow(),
         arrivingFor = requestStartedAt?.elapsedNow(),
-        arrivedBytes = arrivedBytes,
-        answersPerSecond = if (isAnswering) 0.0 else answersPerSecond()
+        arrivedBytes = arrivedBytes
     )
 
-    /** One second longer, so that its first answers do not make a new connection the busiest. */
-    private fun answersPerSecond(): Double =
-        answers / (openedAt.elapsedNow() + 1.seconds).toDouble(SECONDS)
-
     /** Records the arrival of [count] bytes, before they are decoded. */
     fun onBytes(count: Int) {
         lastActiveAt = TimeSource.Monotonic.markNow()
@@ -134,7 +122,6 @@
         channel.writeAndFlush(response).addListener(
             ChannelFutureListener {
                 writingSince = null
-                answers++
                 lastActiveAt = TimeSource.Monotonic.markNow()
                 isAnswering = false
                 if (isKept && it.isSuccess) answerNext() else channel.close()
