Let only one of two hubs rely on the other's polls

Two hubs that poll an entry of an older build each counted it as covered by the other's reports. Both stopped to poll for 1.7 s, polled at once, and stopped again, so that members of other zones did not count the entry as alive for a part of each cycle.

A hub now marks the reports that it polled and those that came from another hub. Only the hub with the higher address relies on the other's polls, for at most 1 s; a report that came from a third entry covers nothing. The marks are new optional fields of the exchange, which ignores unknown fields; reports are unchanged.

HubReportsTest simulates four hubs without a network.

EntryExchangeTest, entry of an older build: the test gave eight entries of one JVM 20 s to start and to see each other, while the other tests first wait until each is ready. The test now waits like the others do; the bound for the list of nine is unchanged.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
@@ -4,7 +4,6 @@
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -96,7 +95,9 @@
         val previous = plan
         plan = planExchange(
             own = own(),
-            others = registered.map { (address, location) -> entry(address, location, now) },
+            others = registered.map { (address, location) ->
+                peers.exchangeEntry(address, location, now)
+            },
             maxPollingEntries = context.maxPollingEntries,
             isAsked = answers.isAsked,
             callingHubs = answers.callingHubs
@@ -115,33 +116,9 @@
         instance = context.own.instance,
         address = context.ownAddress,
         zone = context.own.zone,
-        state = stateOf(context.report())
+        state = context.report().exchangeState
     )
 
-    private fun entry(address: Address, location: EntryLocation, now: Instant): ExchangeEntry {
-        val view = peers.view(address)
-        val report = view?.report
-        return ExchangeEntry(
-            instance = location.instance,
-            address = address,
-            zone = location.zone,
-            state = when {
-                report == null -> ExchangeState.UNKNOWN
-                !peers.isAlive(view) -> ExchangeState.AWAY
-                else -> stateOf(report)
-            },
-            offersExchange = view == null || view.withoutExchangeUntil <= now,
-            isAvoided = view != null && view.avoidedUntil > now,
-            isCovered = view != null && now - view.exchangedAt < COVER_TIME
-        )
-    }
-
-    private fun stateOf(report: PeerReport): ExchangeState = when {
-        report.isStopping -> ExchangeState.AWAY
-        report.isReady -> ExchangeState.SERVING
-        else -> ExchangeState.STARTING
-    }
-
     private fun followHubs() {
         (hubJobs.keys - plan.hubs).forEach { hubJobs.remove(it)?.cancel() }
         for (hub in plan.hubs - hubJobs.keys) {
@@ -224,8 +201,5 @@
         val INTERVAL = 400.milliseconds
         private const val JITTER = 0.1
         private val PLAN_INTERVAL = 200.milliseconds
-
-        /** Longer than reports take through two hubs, and shorter than they count as alive. */
-        private val COVER_TIME = 1.7.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeAnswers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeAnswers.kt
@@ -72,9 +72,9 @@
             view = view,
             body = request.report,
             contactAt = contactAt,
-            isFirstHand = !request.isHub
+            origin = if (request.isHub) ReportOrigin.HUB else ReportOrigin.EXCHANGED
         )
-        view.exchangedAt = maxOf(view.exchangedAt, contactAt)
+        view.coveredUntil = maxOf(view.coveredUntil, contactAt + ExchangedReports.COVER_TIME)
         if (!isNew) return
         tables.learn(view, request.tables, contactAt)
         onPushed(view)
@@ -98,7 +98,7 @@
             tables = tables.ownTables()
         )
         val others = peers.alive
-            .filter { it.isFirstHand || !isHub }
+            .filter { it.origin != ReportOrigin.HUB || !isHub }
             .filter { context.isAfterLastSuspension(it.lastContactAt) }
             .map { view -> exchanged(view, now) }
         val supplied = if (isHub) emptyList() else context.suppliedTables(now)
@@ -111,7 +111,9 @@
         report = view.encodedReport,
         tables = view.tables.map { (name, table) ->
             EntryTable(name, table.version, ageMillis(table.readAt, now), table.rows)
-        }
+        },
+        isPolled = view.origin == ReportOrigin.POLLED,
+        isRelayed = view.origin == ReportOrigin.HUB
     )
 
     /** Rounded up, so that no report seems more recent than it is. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
@@ -39,10 +39,11 @@
     private val context: ExchangeContext,
     private val peers: Peers,
     private val tables: PeerTables,
-    private val onReport: (PeerView) -> Unit,
+    onReport: (PeerView) -> Unit,
     private val follow: suspend (PeerView, HttpClient) -> Unit
 ) {
     private val clock = context.clock
+    private val reports = ExchangedReports(context.ownAddress, peers, tables, onReport)
 
     /** Makes one exchange; returns false if the hub did not answer or does not offer it. */
     suspend fun ask(link: HubLink, isHub: Boolean): Boolean {
@@ -68,7 +69,7 @@
         }
         link.onAnswer(answer, clock.now())
         val sentAt = requestedAt - answer.contentAgeMillis.milliseconds
-        learn(content, sentAt)
+        reports.learn(link.address, content.reports, sentAt)
         if (!isHub) context.onSupplied(content.tables, sentAt, link.client)
         return answer
     }
@@ -88,18 +89,6 @@
             ?: encode(emptyList())
     }
 
-    private fun learn(content: ExchangeContent, sentAt: Instant) {
-        for (exchanged in content.reports) {
-            val view = Address.parseOrNull(exchanged.address)?.let(peers::view) ?: continue
-            val contactAt = sentAt - exchanged.ageMillis.milliseconds
-            // Also if a poll gave a newer one, or an entry once polled would be polled for ever.
-            view.exchangedAt = maxOf(view.exchangedAt, contactAt)
-            if (!peers.accept(view, exchanged.report, contactAt, isFirstHand = false)) continue
-            tables.learn(view, exchanged.tables, sentAt)
-            onReport(view)
-        }
-    }
-
     /** Hubs keep asking another hub, since nobody else passes on the reports of its members. */
     private fun onFailure(hub: Address, reply: HttpReply?, isHub: Boolean) {
         val view = peers.view(hub) ?: return
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeMessages.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeMessages.kt
@@ -129,14 +129,21 @@
     }
 )
 
-/** A report that an entry made [ageMillis] before the [ExchangeContent]. */
+/**
+ * A report that an entry made [ageMillis] before the [ExchangeContent].
+ *
+ * @property isPolled whether the hub polled it, rather than the entry using it as its hub.
+ * @property isRelayed whether the hub got it from another hub.
+ */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal class ExchangedReport(
     val address: String,
     val ageMillis: Long,
     @ByteString val report: ByteArray,
-    val tables: List<EntryTable> = emptyList()
+    val tables: List<EntryTable> = emptyList(),
+    val isPolled: Boolean = false,
+    val isRelayed: Boolean = false
 )
 
 /** Rows of one entry in a [PeerTable], as of [ageMillis] before the message. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerView.kt
@@ -20,11 +20,11 @@
     /** [report] as the entry encoded it. */
     var encodedReport: ByteArray = ByteArray(0)
 
-    /** Whether [report] came from the entry itself rather than from a hub. */
-    var isFirstHand: Boolean = false
+    /** How [report] came to this entry. */
+    var origin: ReportOrigin = ReportOrigin.HUB
 
-    /** [lastContactAt] of the latest report that came by exchange. */
-    var exchangedAt: Instant = Instant.DISTANT_PAST
+    /** Until when this entry relies on others for the reports, and does not poll as a hub. */
+    var coveredUntil: Instant = Instant.DISTANT_PAST
 
     /** Until when it is not asked for an exchange, because it failed to answer one. */
     var avoidedUntil: Instant = Instant.DISTANT_PAST
@@ -36,5 +36,17 @@
     var isFollowed: Boolean = false
 }
 
+/** How the report of an entry came to another one. */
+internal enum class ReportOrigin {
+    /** The entry sent it in an exchange to this entry as its hub. */
+    EXCHANGED,
+
+    /** This entry polled it. */
+    POLLED,
+
+    /** A hub passed it on, or sent its own. */
+    HUB
+}
+
 /** Rows of another entry in a [PeerTable], which it read no earlier than [readAt]. */
 internal class ReceivedTable(val version: Long, val rows: List<RowCopy>, val readAt: Instant)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
@@ -73,14 +73,14 @@
      * @param contactAt a time before or at which the entry made the report.
      * @return whether it was taken over.
      */
-    fun accept(view: PeerView, body: ByteArray, contactAt: Instant, isFirstHand: Boolean): Boolean {
+    fun accept(view: PeerView, body: ByteArray, contactAt: Instant, origin: ReportOrigin): Boolean {
         if (contactAt < view.lastContactAt) return false
         val report = decode(body) ?: return false
         if (report.incarnation != view.report?.incarnation) view.tables.clear()
         view.report = report
         view.encodedReport = body
         view.lastContactAt = contactAt
-        view.isFirstHand = isFirstHand
+        view.origin = origin
         return true
     }
 
@@ -97,7 +97,7 @@
                 countCall(REPORT_PATH)
                 val reply = client.call(HttpCall("GET", REPORT_PATH), TIMEOUT).getOrNull()
                 if (reply?.status == OK &&
-                    accept(view, reply.body, requestedAt, isFirstHand = true)
+                    accept(view, reply.body, requestedAt, ReportOrigin.POLLED)
                 ) {
                     onReport(view, client)
                 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/EntryExchangeTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/EntryExchangeTest.kt
@@ -51,10 +51,11 @@
     private fun List<GatewayProcessFixture>.awaitListed(count: Int) =
         forEach { entry -> await("$count entries are listed") { entry.listedEntries() == count } }
 
-    private fun start() {
+    /** Waits until all serve first; eight entries of one process may take long to start. */
+    private fun start(listed: Int = ENTRIES) {
         entries.forEach { it.start() }
         entries.forEach { entry -> await("ready") { entry.isReady() } }
-        entries.awaitListed(ENTRIES)
+        entries.awaitListed(listed)
     }
 
     private fun GatewayProcessFixture.calls(path: String) =
@@ -132,8 +133,7 @@
             }.apply { start() }
             val row = PeerRow(1, address.toString(), "10.0.0.2:2", "a")
             store.put(TestTables.ENTRIES, "entry/a0", Json.encodeToString(row))
-            entries.forEach { it.start() }
-            entries.awaitListed(ENTRIES + 1)
+            start(listed = ENTRIES + 1)
             old.close()
         }
 
