Pass on what a hub lacks during a cut between hubs of two zones

Hubs get the reports of other hubs' members only from those hubs, so a lasting cut between two hubs of different zones hid each of them and its members from the other one's side.

A hub now names in its request the entries whose reports it has not got directly for 1.2 s, and the other hub adds those that it has from other hubs. Ages grow with each hub on the way, so a report that circulates expires. The request field is new and optional.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeAnswers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeAnswers.kt
@@ -23,7 +23,7 @@
     private val onPushed: (PeerView) -> Unit
 ) {
     private val clock = context.clock
-    private val contents = HashMap<Boolean, CachedContent>()
+    private val contents = HashMap<Receiver, CachedContent>()
     private val hubCalls = HashMap<Address, Instant>()
     private var memberCallAt = Instant.DISTANT_PAST
 
@@ -47,7 +47,7 @@
         val contactAt = request.basis?.let { contactAt(it, now) }
         val view = peers.view(address)
         if (view != null && contactAt != null) learn(view, request, contactAt)
-        val content = contentFor(request.isHub)
+        val content = contentFor(Receiver(request.isHub, request.lacking.toSet()))
         return ExchangeAnswer(
             incarnation = context.incarnation,
             sentAtMillis = clock.now().toEpochMilliseconds(),
@@ -74,23 +74,29 @@
             contactAt = contactAt,
             origin = if (request.isHub) ReportOrigin.HUB else ReportOrigin.EXCHANGED
         )
+        view.directAt = maxOf(view.directAt, contactAt)
         view.coveredUntil = maxOf(view.coveredUntil, contactAt + ExchangedReports.COVER_TIME)
         if (!isNew) return
         tables.learn(view, request.tables, contactAt)
         onPushed(view)
     }
 
-    private fun contentFor(isHub: Boolean): CachedContent {
+    private fun contentFor(receiver: Receiver): CachedContent {
         val now = clock.now()
-        val cached = contents[isHub]
-            ?.takeIf { now - it.madeAt < CONTENT_TIME && context.isAfterLastSuspension(it.madeAt) }
-        return cached ?: CachedContent(now, content(isHub, now).encode())
-            .also { contents[isHub] = it }
+        contents.values.removeAll {
+            now - it.madeAt >= CONTENT_TIME || !context.isAfterLastSuspension(it.madeAt)
+        }
+        return contents.getOrPut(receiver) { CachedContent(now, content(receiver, now).encode()) }
     }
 
-    /** All reports; for hubs, which ask all other hubs, those of this entry and its members. */
+    /**
+     * All reports; for hubs, which ask all other hubs, those of this entry and its members.
+     *
+     * A hub also gets those that it lacks, such as during a cut between it and their hub. Their
+     * ages grow with each hub on the way, so that they expire although they may circulate.
+     */
     @OptIn(ExperimentalSerializationApi::class)
-    private fun content(isHub: Boolean, now: Instant): ExchangeContent {
+    private fun content(receiver: Receiver, now: Instant): ExchangeContent {
         val own = ExchangedReport(
             address = context.ownAddress.toString(),
             ageMillis = 0,
@@ -98,10 +104,10 @@
             tables = tables.ownTables()
         )
         val others = peers.alive
-            .filter { it.origin != ReportOrigin.HUB || !isHub }
+            .filter { it.origin != ReportOrigin.HUB || receiver.needs(it) }
             .filter { context.isAfterLastSuspension(it.lastContactAt) }
             .map { view -> exchanged(view, now) }
-        val supplied = if (isHub) emptyList() else context.suppliedTables(now)
+        val supplied = if (receiver.isHub) emptyList() else context.suppliedTables(now)
         return ExchangeContent(others + own, supplied)
     }
 
@@ -119,6 +125,11 @@
     /** Rounded up, so that no report seems more recent than it is. */
     private fun ageMillis(at: Instant, now: Instant): Long = (now - at).inWholeMilliseconds + 1
 
+    /** Whom an answer is for; those for which it is equal get the same one. */
+    private data class Receiver(val isHub: Boolean, val lacking: Set<String>) {
+        fun needs(view: PeerView) = !isHub || view.address.toString() in lacking
+    }
+
     private class CachedContent(val madeAt: Instant, val bytes: ByteArray)
 
     private companion object {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
@@ -82,6 +82,7 @@
             report = Cbor.encodeToByteArray(context.report()),
             tables = tables,
             isHub = isHub,
+            lacking = if (isHub) peers.lackingReports(madeAt) else emptyList(),
             basis = link.basis(madeAt)
         ).encode()
         // The hub fetches tables that do not fit.
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeMessages.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeMessages.kt
@@ -30,6 +30,8 @@
  * @property address peer address of the sender.
  * @property report an encoded [PeerReport].
  * @property isHub whether the sender is a hub, which needs the reports of the members only.
+ * @property lacking peer addresses of the entries whose reports a hub no longer gets directly. The
+ *   receiver adds those that it has from other hubs.
  * @property basis when the report was made on the clock of the receiver; null if unknown. The
  *   receiver then ignores the report, since it may have been on its way for any time.
  */
@@ -40,6 +42,7 @@
     @ByteString val report: ByteArray,
     val tables: List<EntryTable> = emptyList(),
     val isHub: Boolean = false,
+    val lacking: List<String> = emptyList(),
     val basis: ContactBasis? = null
 )
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangedReports.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangedReports.kt
@@ -19,6 +19,7 @@
         for (exchanged in reports) {
             val view = Address.parseOrNull(exchanged.address)?.let(peers::view) ?: continue
             val contactAt = sentAt - exchanged.ageMillis.milliseconds
+            if (!exchanged.isRelayed) view.directAt = maxOf(view.directAt, contactAt)
             // Also if a poll gave a newer one, or an entry once polled would be polled for ever.
             view.coveredUntil = maxOf(view.coveredUntil, contactAt + coverTime(hub, exchanged))
             if (!peers.accept(view, exchanged.report, contactAt, ReportOrigin.HUB)) continue
@@ -52,6 +53,10 @@
     }
 }
 
+/** Peer addresses of the entries whose reports this entry has not got directly of late. */
+internal fun Peers.lackingReports(now: Instant): List<String> =
+    all.filter { now - it.directAt >= DIRECT_TIME }.map { it.address.toString() }
+
 /** What the plan needs of the entry at [address], which is registered in [location]. */
 internal fun Peers.exchangeEntry(
     address: Address,
@@ -82,3 +87,9 @@
         isReady -> ExchangeState.SERVING
         else -> ExchangeState.STARTING
     }
+
+/**
+ * Two exchanges and two cached answers take 1 s; with those that follow, a report that another hub
+ * passes on arrives before the last direct one expires.
+ */
+private val DIRECT_TIME = 1.2.seconds
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerView.kt
@@ -23,6 +23,9 @@
     /** How [report] came to this entry. */
     var origin: ReportOrigin = ReportOrigin.HUB
 
+    /** [lastContactAt] of the latest report that no hub passed on to another hub on its way. */
+    var directAt: Instant = Instant.DISTANT_PAST
+
     /** Until when this entry relies on others for the reports, and does not poll as a hub. */
     var coveredUntil: Instant = Instant.DISTANT_PAST
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
@@ -74,6 +74,7 @@
      * @return whether it was taken over.
      */
     fun accept(view: PeerView, body: ByteArray, contactAt: Instant, origin: ReportOrigin): Boolean {
+        if (origin != ReportOrigin.HUB) view.directAt = maxOf(view.directAt, contactAt)
         if (contactAt < view.lastContactAt) return false
         val report = decode(body) ?: return false
         if (report.incarnation != view.report?.incarnation) view.tables.clear()
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/HubReportsTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/HubReportsTest.kt
@@ -53,8 +53,27 @@
         }
     }
 
+    @Nested
+    inner class ACutBetweenHubsOfTwoZones {
+        private val hubs = listOf("a1", "a2", "b1", "b2")
+        private val hubOfMember = mapOf("a3" to "a1", "a4" to "a2", "b3" to "b1", "b4" to "b2")
+
+        /** Nobody passed on reports of the hub and its members, which the other side lost. */
+        @Test
+        fun `leaves both and their members in each other's view`() {
+            val simulated = SimulatedHubs(group, hubs, hubOfMember = hubOfMember) { from, to ->
+                setOf(from, to) == setOf("a1", "b1")
+            }
+            simulated.run(3.seconds)
+            simulated.run(20.seconds) {
+                listOf("a1", "a3", "a4").forEach { simulated.assertAge(it, "b1") }
+                listOf("b1", "b3", "b4").forEach { simulated.assertAge(it, "a1") }
+            }
+        }
+    }
+
     private companion object {
-        /** The liveness timeout less the time until members of other zones get the report. */
+        /** The liveness timeout less the time until the members of the hub get the report. */
         val MAX_AGE = 1.3.seconds
     }
 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/SimulatedHubs.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/SimulatedHubs.kt
@@ -29,6 +29,7 @@
 import org.shallotplank.gateway.peer.decodeContent
 import org.shallotplank.gateway.peer.encode
 import org.shallotplank.gateway.peer.exchangeEntry
+import org.shallotplank.gateway.peer.lackingReports
 import org.shallotplank.gateway.peer.planExchange
 
 /**
@@ -166,7 +167,8 @@
             val request = ExchangeRequest(
                 address = address(name).toString(),
                 report = encodedReport(name),
-                isHub = true
+                isHub = true,
+                lacking = peers.lackingReports(now)
             )
             val body = hub.answers.answer(request.encode()) ?: error("not answered")
             val answer = decodeAnswer(body) { error("unreadable: $it") } ?: error("not decoded")
