Fetch tables from hubs beside the exchange

After each exchange an entry fetched what the hub offers on the same connection, before its next exchange. A hub that answered no fetch delayed it by up to 1 s for each table, while the reports of half a zone aged.

Fetches now run as a task of their own on a second connection to the hub, one at a time; while one runs, the next is left out, and a member whose hub supplies no tables calls the store itself as before. An exception in a reader is logged there.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
@@ -40,7 +40,13 @@
         sentAt: Instant,
         hub: HttpClient
     ) -> Unit = { _, _, _ -> }
-)
+) {
+    /** Logs an exception that would otherwise end a loop of the exchange. */
+    fun logFailure(failure: Exception) {
+        val place = failure.stackTrace.firstOrNull()
+        log(logRecord(LogEvent.INTERNAL_ERROR, "error" to failure, "place" to place))
+    }
+}
 
 /**
  * Gets the reports of the other entries as [planExchange] decides: by polling, or through hubs.
@@ -135,7 +141,7 @@
                 delay(interval())
             }
         } finally {
-            link.client.close()
+            link.close()
         }
     }
 
@@ -144,7 +150,7 @@
         while (true) {
             val source = plan.sources.firstOrNull()
             if (source != link?.address) {
-                link?.client?.close()
+                link?.close()
                 link = source?.let { HubLink(context.group, it) }
             }
             val hub = link
@@ -159,8 +165,7 @@
     } catch (e: CancellationException) {
         throw e
     } catch (e: Exception) {
-        val place = e.stackTrace.firstOrNull()
-        context.log(logRecord(LogEvent.INTERNAL_ERROR, "error" to e, "place" to place))
+        context.logFailure(e)
         delay(INTERVAL)
         false
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
@@ -5,6 +5,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.encodeToByteArray
@@ -18,6 +22,10 @@
 /** The connection to a hub, and the basis for the age of the next report sent to it. */
 internal class HubLink(group: EventLoopGroup, val address: Address) {
     val client = HttpClient(group, address)
+
+    /** Separate, so that a fetch that the hub does not answer delays no exchange. */
+    private val tableClient = HttpClient(group, address)
+    private var fetching: Job? = null
     private var incarnation = 0L
     private var sentAtMillis = 0L
     private var arrivedAt: Instant? = null
@@ -32,6 +40,18 @@
         sentAtMillis = answer.sentAtMillis
         arrivedAt = now
     }
+
+    /** Starts [fetch] unless the previous one still runs. */
+    fun startFetch(scope: CoroutineScope, fetch: suspend (HttpClient) -> Unit) {
+        if (fetching?.isActive == true) return
+        fetching = scope.launch { fetch(tableClient) }
+    }
+
+    fun close() {
+        fetching?.cancel()
+        client.close()
+        tableClient.close()
+    }
 }
 
 /** Sends this entry's report to hubs and learns the reports in their answers. */
@@ -49,10 +69,7 @@
     suspend fun ask(link: HubLink, isHub: Boolean): Boolean {
         val answer = exchange(link, isHub) ?: return false
         // Without a basis the hub could not tell how old the report is.
-        val isDone = answer.isReportUsed || exchange(link, isHub) != null
-        val view = peers.view(link.address) ?: return isDone
-        if (view.report != null) follow(view, link.client)
-        return isDone
+        return answer.isReportUsed || exchange(link, isHub) != null
     }
 
     private suspend fun exchange(link: HubLink, isHub: Boolean): ExchangeAnswer? {
@@ -70,10 +87,26 @@
         link.onAnswer(answer, clock.now())
         val sentAt = requestedAt - answer.contentAgeMillis.milliseconds
         reports.learn(link.address, content.reports, sentAt)
-        if (!isHub) context.onSupplied(content.tables, sentAt, link.client)
+        val supplied = if (isHub) emptyList() else content.tables
+        link.startFetch(context.scope) { useTables(link.address, supplied, sentAt, it) }
         return answer
     }
 
+    /** Uses the [supplied] tables and those that the hub offers, and fetches what it needs. */
+    private suspend fun useTables(
+        hub: Address,
+        supplied: List<SuppliedTable>,
+        sentAt: Instant,
+        client: HttpClient
+    ) = try {
+        context.onSupplied(supplied, sentAt, client)
+        peers.view(hub)?.takeIf { it.report != null }?.let { follow(it, client) }
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        context.logFailure(e)
+    }
+
     @OptIn(ExperimentalSerializationApi::class)
     private fun request(link: HubLink, isHub: Boolean): ByteArray {
         val madeAt = clock.now()
