Name the era when a copy of a table is fetched

A copy of a table that one entry fetches from another has a version but no era. If the store was restored between the offer and the fetch, rows of the new era were stored under the old one: when the entry then learned of the new era, the rows that the store had lost were gone without their grace, or a copy of the old era seemed complete.

The fetch now names the era that was offered, and an entry whose copy is of another one answers 404; the next exchange offers the new era. It is a parameter of the query, which earlier builds ignore; the copy's format is unchanged, so a fetch from an earlier build keeps the fault.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -248,8 +248,9 @@
         leasesAgeMillis = keeping.leasesAgeMillis
     )
 
-    /** The copy of [table], or null before the first read. */
-    fun tableCopy(table: String): TableCopy? = peerTables.copy(table) ?: tables.copy(table)
+    /** The copy of [table], or null before the first read or if it is not of [era]. */
+    fun tableCopy(table: String, era: Long?): TableCopy? =
+        peerTables.copy(table) ?: tables.copy(table, era)
 
     /** Rows of entries; the same table also holds those of group leases. */
     private fun entryRows(): List<StoreRow> = with(entryReplica()) { rows + lostRows }
@@ -328,13 +329,13 @@
     /** Fetches what the entry in [view] offers beside its report. */
     private suspend fun follow(view: PeerView, client: HttpClient) {
         val report = view.report ?: return
-        peerTables.follow(view) { table -> fetch(client, table) }
+        peerTables.follow(view) { table -> fetch(client, table, era = null) }
         tables.adopt(report, client)
     }
 
-    private suspend fun fetch(client: HttpClient, table: String): TableCopy? {
+    private suspend fun fetch(client: HttpClient, table: String, era: Long?): TableCopy? {
         countPeerCall(Peers.TABLE_PATH)
-        return fetchTable(client, table, TABLE_TIMEOUT)
+        return fetchTable(client, table, era, TABLE_TIMEOUT)
     }
 
     private fun updateReadiness(now: Instant) {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
@@ -80,7 +80,8 @@
         Peers.REPORT_PATH ->
             HttpReply(OK, Cbor.encodeToByteArray(clusterView.report()), HttpCall.CBOR)
         Peers.TABLE_PATH -> {
-            val copy = request.parameter("name")?.let { clusterView.tableCopy(it) }
+            val era = request.parameter("era")?.toLongOrNull()
+            val copy = request.parameter("name")?.let { clusterView.tableCopy(it, era) }
             if (copy == null) {
                 HttpReply(NOT_FOUND)
             } else {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/StoreTables.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/StoreTables.kt
@@ -35,7 +35,7 @@
  * @param isHub whether this entry supplies others.
  * @param entryCount number of registered entries.
  * @param isAfterLastSuspension whether this entry's clock ran since an instant.
- * @param fetch fetches a copy of a table from another entry.
+ * @param fetch fetches a copy of a table from another entry, if it is of an era.
  * @param onContact called with a copy after each contact, and whether it has changed.
  */
 internal class StoreTables(
@@ -46,7 +46,7 @@
     private val isHub: () -> Boolean,
     private val entryCount: () -> Int,
     private val isAfterLastSuspension: (Instant) -> Boolean,
-    private val fetch: suspend (HttpClient, table: String) -> TableCopy?,
+    private val fetch: suspend (HttpClient, table: String, era: Long?) -> TableCopy?,
     private val onContact: (table: String, TableReplica, isChanged: Boolean) -> Unit,
     private val log: (LogRecord) -> Unit
 ) {
@@ -123,9 +123,10 @@
         }
     }
 
-    /** The copy of [table], or null before the first read. */
-    fun copy(table: String): TableCopy? {
+    /** The copy of [table], or null before the first read or if it is not of [era]. */
+    fun copy(table: String, era: Long? = null): TableCopy? {
         val replica = followers[table]?.replica?.takeIf { it.isRead } ?: return null
+        if (era != null && era != replica.revision.era) return null
         val rows = replica.rows.map { RowCopy(it.key, it.value, it.version) }
         return TableCopy(replica.revision.version, rows)
     }
@@ -148,8 +149,8 @@
         source: String,
         client: HttpClient
     ) {
-        val copy = fetch(client, table) ?: return
-        // If the source has reached a later era meanwhile, the rows are newer than they seem.
+        // Rows of a later era under this one would hide which rows the store lost when restored.
+        val copy = fetch(client, table, era) ?: return
         val contents = TableContents(copy.storeRows(), StoreRevision(era, copy.version))
         follower.adopt(contents, source)
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
@@ -172,10 +172,20 @@
     }
 }
 
-/** Fetches a copy of [table] from the entry that [client] calls; null if that fails. */
+/**
+ * Fetches a copy of [table] from the entry that [client] calls; null if that fails.
+ *
+ * @param era only a copy of this era is wanted. Builds before this parameter ignore it.
+ */
 @OptIn(ExperimentalSerializationApi::class)
-internal suspend fun fetchTable(client: HttpClient, table: String, timeout: Duration): TableCopy? {
-    val call = HttpCall("GET", "${Peers.TABLE_PATH}?name=$table")
+internal suspend fun fetchTable(
+    client: HttpClient,
+    table: String,
+    era: Long?,
+    timeout: Duration
+): TableCopy? {
+    val suffix = era?.let { "&era=$it" }.orEmpty()
+    val call = HttpCall("GET", "${Peers.TABLE_PATH}?name=$table$suffix")
     val reply = client.call(call, timeout).getOrNull()?.takeIf { it.status == 200 } ?: return null
     return try {
         Cbor.decodeFromByteArray<TableCopy>(reply.body)
