--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
@@ -4,7 +4,6 @@
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -41,7 +40,13 @@
         sentAt: Instant,
         hub: HttpClient
     ) -> Unit = { _, _, _ -> }
-)
+) {
+    /** Logs an exception that would otherwise end a loop of the exchange. */
+    fun logFailure(failure: Exception) {
+        val place = failure.stackTrace.firstOrNull()
+        log(logRecord(LogEvent.INTERNAL_ERROR, "error" to failure, "place" to place))
+    }
+}
 
 /**
  * Gets the reports of the other entries as [planExchange] decides: by polling, or through hubs.
@@ -96,7 +101,9 @@
         val previous = plan
         plan = planExchange(
             own = own(),
-            others = registered.map { (address, location) -> entry(address, location, now) },
+            others = registered.map { (address, location) ->
+                peers.exchangeEntry(address, location, now)
+            },
             maxPollingEntries = context.maxPollingEntries,
             isAsked = answers.isAsked,
             callingHubs = answers.callingHubs
@@ -115,33 +122,9 @@
         instance = context.own.instance,
         address = context.ownAddress,
         zone = context.own.zone,
-        state = stateOf(context.report())
+        state = context.report().exchangeState
     )
 
-    private fun entry(address: Address, location: EntryLocation, now: Instant): ExchangeEntry {
-        val view = peers.view(address)
-        val report = view?.report
-        return ExchangeEntry(
-            instance = location.instance,
-            address = address,
-            zone = location.zone,
-            state = when {
-                report == null -> ExchangeState.UNKNOWN
-                !peers.isAlive(view) -> ExchangeState.AWAY
-                else -> stateOf(report)
-            },
-            offersExchange = view == null || view.withoutExchangeUntil <= now,
-            isAvoided = view != null && view.avoidedUntil > now,
-            isCovered = view != null && now - view.exchangedAt < COVER_TIME
-        )
-    }
-
-    private fun stateOf(report: PeerReport): ExchangeState = when {
-        report.isStopping -> ExchangeState.AWAY
-        report.isReady -> ExchangeState.SERVING
-        else -> ExchangeState.STARTING
-    }
-
     private fun followHubs() {
         (hubJobs.keys - plan.hubs).forEach { hubJobs.remove(it)?.cancel() }
         for (hub in plan.hubs - hubJobs.keys) {
@@ -158,7 +141,7 @@
                 delay(interval())
             }
         } finally {
-            link.client.close()
+            link.close()
         }
     }
 
@@ -167,7 +150,7 @@
         while (true) {
             val source = plan.sources.firstOrNull()
             if (source != link?.address) {
-                link?.client?.close()
+                link?.close()
                 link = source?.let { HubLink(context.group, it) }
             }
             val hub = link
@@ -182,8 +165,7 @@
     } catch (e: CancellationException) {
         throw e
     } catch (e: Exception) {
-        val place = e.stackTrace.firstOrNull()
-        context.log(logRecord(LogEvent.INTERNAL_ERROR, "error" to e, "place" to place))
+        context.logFailure(e)
         delay(INTERVAL)
         false
     }
@@ -224,8 +206,5 @@
         val INTERVAL = 400.milliseconds
         private const val JITTER = 0.1
         private val PLAN_INTERVAL = 200.milliseconds
-
-        /** Longer than reports take through two hubs, and shorter than they count as alive. */
-        private val COVER_TIME = 1.7.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
@@ -5,6 +5,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.encodeToByteArray
@@ -18,6 +22,10 @@
 /** The connection to a hub, and the basis for the age of the next report sent to it. */
 internal class HubLink(group: EventLoopGroup, val address: Address) {
     val client = HttpClient(group, address)
+
+    /** Separate, so that a fetch that the hub does not answer delays no exchange. */
+    private val tableClient = HttpClient(group, address)
+    private var fetching: Job? = null
     private var incarnation = 0L
     private var sentAtMillis = 0L
     private var arrivedAt: Instant? = null
@@ -32,6 +40,18 @@
         sentAtMillis = answer.sentAtMillis
         arrivedAt = now
     }
+
+    /** Starts [fetch] unless the previous one still runs. */
+    fun startFetch(scope: CoroutineScope, fetch: suspend (HttpClient) -> Unit) {
+        if (fetching?.isActive == true) return
+        fetching = scope.launch { fetch(tableClient) }
+    }
+
+    fun close() {
+        fetching?.cancel()
+        client.close()
+        tableClient.close()
+    }
 }
 
 /** Sends this entry's report to hubs and learns the reports in their answers. */
@@ -39,19 +59,17 @@
     private val context: ExchangeContext,
     private val peers: Peers,
     private val tables: PeerTables,
-    private val onReport: (PeerView) -> Unit,
+    onReport: (PeerView) -> Unit,
     private val follow: suspend (PeerView, HttpClient) -> Unit
 ) {
     private val clock = context.clock
+    private val reports = ExchangedReports(context.ownAddress, peers, tables, onReport)
 
     /** Makes one exchange; returns false if the hub did not answer or does not offer it. */
     suspend fun ask(link: HubLink, isHub: Boolean): Boolean {
         val answer = exchange(link, isHub) ?: return false
         // Without a basis the hub could not tell how old the report is.
-        val isDone = answer.isReportUsed || exchange(link, isHub) != null
-        val view = peers.view(link.address) ?: return isDone
-        if (view.report != null) follow(view, link.client)
-        return isDone
+        return answer.isReportUsed || exchange(link, isHub) != null
     }
 
     private suspend fun exchange(link: HubLink, isHub: Boolean): ExchangeAnswer? {
@@ -68,11 +86,27 @@
         }
         link.onAnswer(answer, clock.now())
         val sentAt = requestedAt - answer.contentAgeMillis.milliseconds
-        learn(content, sentAt)
-        if (!isHub) context.onSupplied(content.tables, sentAt, link.client)
+        reports.learn(link.address, content.reports, sentAt)
+        val supplied = if (isHub) emptyList() else content.tables
+        link.startFetch(context.scope) { useTables(link.address, supplied, sentAt, it) }
         return answer
     }
 
+    /** Uses the [supplied] tables and those that the hub offers, and fetches what it needs. */
+    private suspend fun useTables(
+        hub: Address,
+        supplied: List<SuppliedTable>,
+        sentAt: Instant,
+        client: HttpClient
+    ) = try {
+        context.onSupplied(supplied, sentAt, client)
+        peers.view(hub)?.takeIf { it.report != null }?.let { follow(it, client) }
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        context.logFailure(e)
+    }
+
     @OptIn(ExperimentalSerializationApi::class)
     private fun request(link: HubLink, isHub: Boolean): ByteArray {
         val madeAt = clock.now()
@@ -81,6 +115,7 @@
             report = Cbor.encodeToByteArray(context.report()),
             tables = tables,
             isHub = isHub,
+            lacking = if (isHub) peers.lackingReports(madeAt) else emptyList(),
             basis = link.basis(madeAt)
         ).encode()
         // The hub fetches tables that do not fit.
@@ -88,18 +123,6 @@
             ?: encode(emptyList())
     }
 
-    private fun learn(content: ExchangeContent, sentAt: Instant) {
-        for (exchanged in content.reports) {
-            val view = Address.parseOrNull(exchanged.address)?.let(peers::view) ?: continue
-            val contactAt = sentAt - exchanged.ageMillis.milliseconds
-            // Also if a poll gave a newer one, or an entry once polled would be polled for ever.
-            view.exchangedAt = maxOf(view.exchangedAt, contactAt)
-            if (!peers.accept(view, exchanged.report, contactAt, isFirstHand = false)) continue
-            tables.learn(view, exchanged.tables, sentAt)
-            onReport(view)
-        }
-    }
-
     /** Hubs keep asking another hub, since nobody else passes on the reports of its members. */
     private fun onFailure(hub: Address, reply: HttpReply?, isHub: Boolean) {
         val view = peers.view(hub) ?: return
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeMessages.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeMessages.kt
@@ -30,6 +30,8 @@
  * @property address peer address of the sender.
  * @property report an encoded [PeerReport].
  * @property isHub whether the sender is a hub, which needs the reports of the members only.
+ * @property lacking peer addresses of the entries whose reports a hub no longer gets directly. The
+ *   receiver adds those that it has from other hubs.
  * @property basis when the report was made on the clock of the receiver; null if unknown. The
  *   receiver then ignores the report, since it may have been on its way for any time.
  */
@@ -40,6 +42,7 @@
     @ByteString val report: ByteArray,
     val tables: List<EntryTable> = emptyList(),
     val isHub: Boolean = false,
+    val lacking: List<String> = emptyList(),
     val basis: ContactBasis? = null
 )
 
@@ -129,14 +132,21 @@
     }
 )
 
-/** A report that an entry made [ageMillis] before the [ExchangeContent]. */
+/**
+ * A report that an entry made [ageMillis] before the [ExchangeContent].
+ *
+ * @property isPolled whether the hub polled it, rather than the entry using it as its hub.
+ * @property isRelayed whether the hub got it from another hub.
+ */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal class ExchangedReport(
     val address: String,
     val ageMillis: Long,
     @ByteString val report: ByteArray,
-    val tables: List<EntryTable> = emptyList()
+    val tables: List<EntryTable> = emptyList(),
+    val isPolled: Boolean = false,
+    val isRelayed: Boolean = false
 )
 
 /** Rows of one entry in a [PeerTable], as of [ageMillis] before the message. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
@@ -73,14 +73,15 @@
      * @param contactAt a time before or at which the entry made the report.
      * @return whether it was taken over.
      */
-    fun accept(view: PeerView, body: ByteArray, contactAt: Instant, isFirstHand: Boolean): Boolean {
+    fun accept(view: PeerView, body: ByteArray, contactAt: Instant, origin: ReportOrigin): Boolean {
+        if (origin != ReportOrigin.HUB) view.directAt = maxOf(view.directAt, contactAt)
         if (contactAt < view.lastContactAt) return false
         val report = decode(body) ?: return false
         if (report.incarnation != view.report?.incarnation) view.tables.clear()
         view.report = report
         view.encodedReport = body
         view.lastContactAt = contactAt
-        view.isFirstHand = isFirstHand
+        view.origin = origin
         return true
     }
 
@@ -97,7 +98,7 @@
                 countCall(REPORT_PATH)
                 val reply = client.call(HttpCall("GET", REPORT_PATH), TIMEOUT).getOrNull()
                 if (reply?.status == OK &&
-                    accept(view, reply.body, requestedAt, isFirstHand = true)
+                    accept(view, reply.body, requestedAt, ReportOrigin.POLLED)
                 ) {
                     onReport(view, client)
                 }
@@ -171,10 +172,20 @@
     }
 }
 
-/** Fetches a copy of [table] from the entry that [client] calls; null if that fails. */
+/**
+ * Fetches a copy of [table] from the entry that [client] calls; null if that fails.
+ *
+ * @param era only a copy of this era is wanted. Builds before this parameter ignore it.
+ */
 @OptIn(ExperimentalSerializationApi::class)
-internal suspend fun fetchTable(client: HttpClient, table: String, timeout: Duration): TableCopy? {
-    val call = HttpCall("GET", "${Peers.TABLE_PATH}?name=$table")
+internal suspend fun fetchTable(
+    client: HttpClient,
+    table: String,
+    era: Long?,
+    timeout: Duration
+): TableCopy? {
+    val suffix = era?.let { "&era=$it" }.orEmpty()
+    val call = HttpCall("GET", "${Peers.TABLE_PATH}?name=$table$suffix")
     val reply = client.call(call, timeout).getOrNull()?.takeIf { it.status == 200 } ?: return null
     return try {
         Cbor.decodeFromByteArray<TableCopy>(reply.body)
