Give slow but steady readers time in calm

The entry sees that a caller reads only when the send buffer has room again. The system lets that buffer grow to several megabytes, so a steady reader of a large answer showed no progress for longer than idle_timeout_ms and was cut. A reader without progress is still cut.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
@@ -317,7 +317,7 @@
     /** Closes the connection if the caller exceeds a timeout of [CallerLimits]. */
     fun closeIfOverdue(now: Instant) {
         val limits = listener.limits
-        if (answers.isUnreadFor(now, limits.idleTimeout)) {
+        if (isStalledReader(now, limits)) {
             listener.onShed(this, ShedCause.SLOW_READER)
             isClosing = true
             channel.close()
@@ -341,6 +341,14 @@
         }
     }
 
+    /** Whether the caller reads nothing, or in calm so slowly that it cannot be told apart. */
+    private fun isStalledReader(now: Instant, limits: CallerLimits): Boolean =
+        answers.isUnreadFor(now, limits.idleTimeout) &&
+            (
+                !listener.isCalm ||
+                    answers.isUnreadFor(now, limits.idleTimeout + HIDDEN_READING_TIME)
+                )
+
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         listener.onWritable(this, channel.isWritable)
         if (channel.isWritable && !isAnswerOpen && !pending.isEmpty) processPending()
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/budget/MemoryBudgetTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/budget/MemoryBudgetTest.kt
@@ -42,6 +42,14 @@
             assertEquals(listOf("arriving"), closed)
         }
 
+        @Test
+        fun `an answer that is still read is cut only if nothing else is held`() {
+            open("read").set(HeldFor.UNREAD, 900_000)
+            now += 5.seconds
+            open("arriving", 200_000)
+            assertEquals(listOf("arriving"), closed)
+        }
+
         @Test
         fun `closed connections count no more`() {
             val share = open("first", 900_000)
