--- a/gateway/src/test/kotlin/org/shallotplank/gateway/SlowReadingTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/SlowReadingTest.kt
@@ -4,11 +4,14 @@
 import java.net.Socket
 import kotlin.test.AfterTest
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.gateway.CallerLimits
+import org.shallotplank.gateway.budget.MAX_BODY_TIME
+import org.shallotplank.gateway.budget.MIN_BYTES_PER_SECOND
 
 /** Answers larger than the socket buffers, read by callers slower than the upstream. */
 class SlowReadingTest {
@@ -110,6 +113,33 @@
         }
     }
 
+    /** Guards against closing a connection whose answer is complete but not yet read. */
+    @Nested
+    inner class AnAnswerThatIsStillRead {
+        @Test
+        fun `is not cut for a new connection`() {
+            val reading = AlmostRead(maxConnections = 2)
+            val other = reading.gateway.connect().also { open += it }
+            assertEquals(0, other.readRest())
+            val count = reading.readAll()
+            assertTrue(count > reading.answerBytes, "$count bytes")
+        }
+
+        @Test
+        fun `is not cut by a planned stop`() {
+            val reading = AlmostRead(close = false)
+            reading.gateway.closeIdle()
+            val count = reading.readAll()
+            assertTrue(count > reading.answerBytes, "$count bytes")
+        }
+    }
+
+    /** Guards against a time limit that bodies within the published limits exceed. */
+    @Test
+    fun `the time of a body suffices for the largest one at the lowest rate`() {
+        assertTrue(MAX_BODY_TIME.inWholeSeconds * MIN_BYTES_PER_SECOND > 4_194_304)
+    }
+
     private companion object {
         /** Larger than the socket buffers of both sides can become. */
         const val LONG_BYTES = 12_000_000
