Discard a refused body for as long as it may take to arrive

After a refusal the connection was closed when a second had passed, also while the caller still sent its body; the reset could destroy the refusal. What arrives is now discarded until the body ends, for a caller within the published limits at most until the rate, the pauses or the time that a body may have; others have a second as before. The other addresses discard for the 10 s that a request may take.

DataPathTest "reach a caller whose body takes longer than a second" failed on (Broken pipe) and passes now. DataPathTest, DiscardedRequestTest, SlowReadingTest and the fuzz of the caller's side pass (35 tests).

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/caller/AnswerWriter.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/caller/AnswerWriter.kt
@@ -20,6 +20,7 @@
 import org.shallotplank.gateway.budget.MIN_BYTES_PER_SECOND
 import org.shallotplank.gateway.budget.MemoryShare
 import org.shallotplank.gateway.http.closeAfterFlush
+import org.shallotplank.gateway.http.shutdownOutputAfterFlush
 
 /** Writes answers to a caller and counts in [share] what the caller has not read of them. */
 internal class AnswerWriter(
@@ -56,18 +57,19 @@
         return unread.bytes > 0 && now - lastReadAt > timeout
     }
 
-    /** Answers [status] to a request that is not run, and closes the connection. */
+    /** Answers [status] to a request that is not run, and ends the output of the connection. */
     fun refuse(status: HttpResponseStatus) {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers()
             .set(HttpHeaderNames.CONTENT_LENGTH, 0)
             .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         write(response)
-        close(isMoreExpected = true)
+        channel.shutdownOutputAfterFlush()
     }
 
-    /** Closes the connection once everything is sent; see [closeAfterFlush]. */
-    fun close(isMoreExpected: Boolean): Unit = channel.closeAfterFlush(isMoreExpected)
+    /** Closes the connection once everything is sent, or only its output if [isMoreExpected]. */
+    fun close(isMoreExpected: Boolean): Unit =
+        if (isMoreExpected) channel.shutdownOutputAfterFlush() else channel.closeAfterFlush()
 
     private fun update(now: Instant) {
         val buffer = channel.unsafe().outboundBuffer()
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
@@ -54,7 +54,7 @@
     private var arriving: ArrivingRequest? = null
     private var isAnswerOpen = false
     private var closesAfterAnswer = false
-    private var isBodyRefused = false
+    private var discarded: DiscardedRequest? = null
     private var isClosing = false
     private var headerStartedAt: Instant? = null
     private var headBytes = 0L
@@ -93,7 +93,8 @@
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (message !is HttpObject || isClosing || isBodyRefused) {
+        if (message !is HttpObject || isClosing || discarded != null) {
+            if (message is HttpObject) discarded?.onPart(message)
             ReferenceCountUtil.release(message)
             return
         }
@@ -109,7 +110,7 @@
             if (!closesAfterAnswer) listener.onShed(this, ShedCause.PIPELINED)
             // The requests in excess are not run; the caller notices that by the end.
             closesAfterAnswer = true
-            isBodyRefused = true
+            discarded = DiscardedRequest(clock.now(), isWithinLimits = false)
         }
         share.set(HeldFor.PIPELINED, pending.weightBytes)
         updateReading()
@@ -167,7 +168,7 @@
 
     /** Passes the request on without its body, so that it is refused as any other one. */
     private fun refuseBeforeBody(request: HttpRequest) {
-        isBodyRefused = true
+        discarded = DiscardedRequest(clock.now(), isWithinLimits = true)
         closesAfterAnswer = true
         finishRequest(request, Unpooled.EMPTY_BUFFER)
     }
@@ -202,6 +203,7 @@
     private fun reject(status: HttpResponseStatus, detail: String) {
         listener.onInvalid(this, status.code(), detail)
         isClosing = true
+        discarded = DiscardedRequest(clock.now(), isWithinLimits = status in WITHIN_LIMITS)
         releaseParts()
         answers.refuse(status)
     }
@@ -286,7 +288,7 @@
         if (closesAfterAnswer) {
             isClosing = true
             releaseParts()
-            answers.close(isMoreExpected = isBodyRefused)
+            answers.close(isMoreExpected = discarded != null)
             return
         }
         processPending()
@@ -310,7 +312,7 @@
     }
 
     private fun updateReading() {
-        val isReading = isClosing || isBodyRefused || (!pending.isFull && !share.isPaused)
+        val isReading = isClosing || discarded != null || (!pending.isFull && !share.isPaused)
         if (channel.config().isAutoRead != isReading) channel.config().isAutoRead = isReading
     }
 
@@ -323,7 +325,11 @@
             channel.close()
             return
         }
-        if (isAnswerOpen || isClosing || share.isPaused) return
+        if (isClosing) {
+            closeIfDiscarded(now, limits)
+            return
+        }
+        if (isAnswerOpen || share.isPaused) return
         val isHeaderLate = headerStartedAt?.let { now - it > limits.headerTimeout } ?: false
         val isIdle = now - lastReadAt > limits.idleTimeout && !answers.isUnread
         when {
@@ -341,6 +347,12 @@
         }
     }
 
+    private fun closeIfDiscarded(now: Instant, limits: CallerLimits) {
+        val request = discarded ?: return
+        if (answers.isUnread) return
+        if (request.isOver(now, answers.progressAt, lastReadAt, limits)) channel.close()
+    }
+
     /** Whether the caller reads nothing, or in calm so slowly that it cannot be told apart. */
     private fun isStalledReader(now: Instant, limits: CallerLimits): Boolean =
         answers.isUnreadFor(now, limits.idleTimeout) &&
@@ -387,7 +399,10 @@
     }
 
     private companion object {
-        /** Idle timeouts after which the rate of a body counts; callers may stop and go on. */
-        const val RATE_GRACE_TIMEOUTS = 2
+        /** Refusals of callers that keep the limits, or do not but for the size of the body. */
+        val WITHIN_LIMITS = setOf(
+            HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+            HttpResponseStatus.SERVICE_UNAVAILABLE
+        )
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/EndpointConnection.kt
@@ -44,6 +44,9 @@
     @Volatile
     private var writingSince: TimeMark? = null
 
+    @Volatile
+    private var refusedAt: TimeMark? = null
+
     @Volatile
     private var arrivedBytes = 0L
 
@@ -69,6 +72,11 @@
 
     /** Closes the connection if its client sends a request or reads an answer too slowly. */
     fun closeIfOverdue() {
+        if (isClosing) {
+            // The body of a refused request is discarded for as long as it may take to arrive.
+            if (refusedAt.isOlderThan(REQUEST_TIME)) channel.close()
+            return
+        }
         if (requestStartedAt.isOlderThan(REQUEST_TIME)) close(ShedCause.SLOW_SENDER)
         if (writingSince.isOlderThan(READING_TIME)) close(ShedCause.SLOW_READER)
     }
@@ -80,7 +88,8 @@
         val response = HttpReply(TOO_LARGE).message()
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         channel.writeAndFlush(response)
-        channel.closeAfterFlush(isMoreExpected = true)
+        refusedAt = TimeSource.Monotonic.markNow()
+        channel.shutdownOutputAfterFlush()
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/DataPathTest.kt
@@ -150,6 +150,21 @@
             }
         }
 
+        /** Guards against a refusal that is lost in a reset while the caller still sends. */
+        @Test
+        fun `reach a caller whose body takes longer than a second`() {
+            val gateway = gateway(upstream(), limits = CallerLimits(maxBodyBytes = 2_000_000))
+            val head = request("other").replace("Content-Length: 0", "Content-Length: 400000")
+            gateway.connect().use { socket ->
+                socket.send(head)
+                repeat(8) {
+                    Thread.sleep(300)
+                    socket.send("x".repeat(50_000))
+                }
+                assertContains(readAnswer(socket), "404 Not Found")
+            }
+        }
+
         @Test
         fun `of headers that come too slowly`() {
             val limits = CallerLimits(headerTimeout = 200.milliseconds)
