Let kept connections that poll give way to new callers

Callers that poll the directory every second or so on kept connections were never idle for the 3 s after which a connection may be replaced, so they could hold the whole share and new callers were closed at once. At readiness, directory and metrics, an answered connection now counts as idle at once, and the one that is idle for longest is closed for a new one.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
@@ -27,12 +27,13 @@
 ) {
     /** Starts listening; throws [java.io.IOException] if an address cannot be bound. */
     fun start() {
-        val small = limits(SMALL_SHARE, SMALL_REQUEST_BYTES)
+        val small = limits(SMALL_SHARE, SMALL_REQUEST_BYTES, keepsIdle = false)
         val metricsAddress = settings.listenAddress.copy(port = settings.metricsPort)
         HttpEndpoint(group, settings.readinessAddress, small, ::readiness).start()
         HttpEndpoint(group, settings.directoryAddress, small, ::entries).start()
         HttpEndpoint(group, metricsAddress, small) { scrape() }.start()
-        val large = limits(PEER_SHARE, PEER_REQUEST_BYTES)
+        // Entries call each other several times a second, and a lost call delays what they report.
+        val large = limits(PEER_SHARE, PEER_REQUEST_BYTES, keepsIdle = true)
         val peers = HttpEndpoint(group, settings.peerAddress, large) { request, reply ->
             peer(request, reply)
         }
@@ -46,9 +47,10 @@
         metrics.gauge(GatewayMetric.HUB) { if (clusterView.isHub) 1 else 0 }
     }
 
-    private fun limits(share: Double, maxRequestBytes: Int) = EndpointLimits(
+    private fun limits(share: Double, maxRequestBytes: Int, keepsIdle: Boolean) = EndpointLimits(
         maxConnections = (settings.maxConnections * share).toInt().coerceAtLeast(MIN_CONNECTIONS),
         maxRequestBytes = maxRequestBytes,
+        keepsIdle = keepsIdle,
         onShed = exchanges::countShed
     )
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/budget/ConnectionActivity.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/budget/ConnectionActivity.kt
@@ -11,6 +11,8 @@
     val isClosing: Boolean = false,
     /** Whether a request of it may be running at an upstream. */
     val isRunning: Boolean = false,
+    /** Whether it is idle after an answer and its client asks again on a new connection. */
+    val isRepeatable: Boolean = false,
     /** Time since bytes were last received or read by the other side. */
     val silence: Duration,
     /** Time for which a request has been arriving, null if none is. */
@@ -46,7 +48,7 @@
         activity.silence >= REPLACE_GRACE ||
             isTooSlow(activity.arrivingFor, activity.arrivedBytes, REPLACE_GRACE)
     }
-    else -> activity.silence.takeIf { it >= REPLACE_IDLE }
+    else -> activity.silence.takeIf { activity.isRepeatable || it >= REPLACE_IDLE }
 }
 
 private val CLOSING_RANK = Duration.INFINITE
@@ -58,7 +60,10 @@
  */
 private val REPLACE_GRACE = 1.seconds
 
-/** Idle time after which a connection may be closed for another caller. */
+/**
+ * Idle time after which a connection may be closed for another caller; a request that is sent
+ * while its connection closes may have to be given up.
+ */
 private val REPLACE_IDLE = 3.seconds
 
 /** Far below the rate of any network link in use; a body of 4 MB takes 68 minutes. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/EndpointConnection.kt
@@ -25,13 +25,18 @@
 internal class EndpointConnection(
     private val channel: Channel,
     private val answer: (EndpointRequest, reply: (HttpReply) -> Unit) -> Unit,
-    private val onShed: (ShedCause) -> Unit
+    private val limits: EndpointLimits
 ) : SimpleChannelInboundHandler<FullHttpRequest>() {
     private class Waiting(val request: EndpointRequest, val isKept: Boolean)
 
     private val waiting = ArrayDeque<Waiting>()
+
+    @Volatile
     private var isAnswering = false
 
+    @Volatile
+    private var isAnswered = false
+
     @Volatile
     private var isClosing = false
 
@@ -52,6 +57,7 @@
 
     fun activity(): ConnectionActivity = ConnectionActivity(
         isClosing = isClosing,
+        isRepeatable = isAnswered && !isAnswering && !limits.keepsIdle,
         silence = lastActiveAt.elapsedNow(),
         arrivingFor = requestStartedAt?.elapsedNow(),
         arrivedBytes = arrivedBytes
@@ -66,7 +72,7 @@
 
     /** Closes the connection because of [cause]. */
     fun close(cause: ShedCause) {
-        onShed(cause)
+        limits.onShed(cause)
         channel.close()
     }
 
@@ -133,6 +139,7 @@
                 writingSince = null
                 lastActiveAt = TimeSource.Monotonic.markNow()
                 isAnswering = false
+                isAnswered = true
                 if (isKept && it.isSuccess) answerNext() else channel.close()
             }
         )
@@ -140,7 +147,7 @@
 
     @Deprecated("Netty deprecates it in the base class")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        if (cause is OutOfMemoryError) onShed(ShedCause.MEMORY)
+        if (cause is OutOfMemoryError) limits.onShed(ShedCause.MEMORY)
         context.close()
     }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpEndpoint.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpEndpoint.kt
@@ -35,11 +35,14 @@
  *
  * @property maxConnections open connections; above it, one that makes no progress is replaced.
  * @property maxRequestBytes longest body of a request.
+ * @property keepsIdle whether idle connections keep a few seconds before a new one replaces them;
+ *   otherwise clients that poll on kept connections could keep others out.
  * @property onShed called when a connection is closed or refused because of a limit.
  */
 public class EndpointLimits(
     public val maxConnections: Int = 256,
     public val maxRequestBytes: Int = 65_536,
+    public val keepsIdle: Boolean = false,
     public val onShed: (ShedCause) -> Unit = {}
 )
 
@@ -113,7 +116,7 @@
             created.close()
             return
         }
-        val connection = EndpointConnection(created, answer, limits.onShed)
+        val connection = EndpointConnection(created, answer, limits)
         connections += connection
         created.closeFuture().addListener { connections -= connection }
         val decoding = HttpDecoderConfig()
