Count messages of other processes in the memory budget

Answers of the store and of engines, and reports and tables of other entries had a bound each, but many of them at once were not bounded together. They now count in the budget of the process, at twice their length, from the first byte until they are decoded or answered. 8 MB (the longest message and its copy) are theirs alone, so that callers cannot keep an entry from its store; above that they use what callers leave free. A message that finds no room is dropped with its connection, counted as messages in shallotplank_gateway_callers_shed_total and in the line of log event 5050, which is written once a second at most.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -1,6 +1,5 @@
 package org.shallotplank.gateway
 
-import io.netty.channel.EventLoopGroup
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -22,6 +21,7 @@
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.http.HttpClient
+import org.shallotplank.gateway.http.HttpClients
 import org.shallotplank.gateway.peer.EntryExchange
 import org.shallotplank.gateway.peer.ExchangeContext
 import org.shallotplank.gateway.peer.LeavingUpstream
@@ -52,7 +52,7 @@
 internal class ClusterView(
     private val settings: GatewayEntrySettings,
     private val schema: StoreSchema,
-    private val group: EventLoopGroup,
+    private val clients: HttpClients,
     private val scope: CoroutineScope,
     private val environment: GatewayEnvironment,
     private val exchanges: GatewayExchanges,
@@ -65,7 +65,7 @@
     private val rewriteGrace = settings.toReducerSettings().reregistrationGrace
     private val upstreams = ObservedUpstreams(schema.readUpstream, rewriteGrace, log)
     private val peers = Peers(
-        group = group,
+        clients = clients,
         own = settings.peerAddress,
         scope = scope,
         clock = clock,
@@ -78,7 +78,7 @@
         settings = settings,
         schema = schema,
         environment = environment,
-        group = group,
+        clients = clients,
         scope = scope,
         exchanges = exchanges,
         reports = ::reports,
@@ -131,7 +131,7 @@
 
     private val exchange = EntryExchange(
         context = ExchangeContext(
-            group = group,
+            clients = clients,
             scope = scope,
             clock = clock,
             random = environment.random,
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -32,6 +32,7 @@
 import org.shallotplank.core.quarantine.CrashRecord
 import org.shallotplank.core.work.ReportedWork
 import org.shallotplank.gateway.budget.MemoryBudget
+import org.shallotplank.gateway.budget.MessageMemory
 import org.shallotplank.gateway.budget.ShedCause
 import org.shallotplank.gateway.budget.ShedLog
 import org.shallotplank.gateway.budget.jvmMaxBytes
@@ -63,7 +64,11 @@
 ) : CallerListener {
     private val clock = environment.clock
     private val pool = UpstreamPool(group, clock)
-    private val budget = MemoryBudget(settings.maxHeldBytes ?: jvmMaxBytes(), clock::now)
+    private val budget = MemoryBudget(
+        maxBytes = settings.maxHeldBytes ?: jvmMaxBytes(),
+        onMessageRefused = { countShed(ShedCause.MESSAGES) },
+        now = clock::now
+    )
     private val shedLog = ShedLog(metrics::countShed, log) { budget.usedBytes }
     private val server = CallerServer(
         group,
@@ -83,6 +88,9 @@
     private var pausesReportedAt: Instant = clock.now()
     private var sweptAt: Instant = clock.now()
 
+    /** Counts messages of other processes in the budget of this one. */
+    val messages: MessageMemory get() = budget
+
     /** Called with each crash that the reducer attributes to a request. */
     var onCrash: (CrashRecord) -> Unit = {}
 
@@ -105,6 +113,7 @@
         metrics.gauge(GatewayMetric.IN_FLIGHT) { open.size }
         metrics.gauge(GatewayMetric.CALLER_CONNECTIONS) { server.connectionCount }
         metrics.gauge(GatewayMetric.HELD_BYTES) { budget.usedBytes }
+        metrics.gauge(GatewayMetric.MESSAGE_BYTES) { budget.messageBytes }
         metrics.gauge(GatewayMetric.UPSTREAM_CONNECTIONS) { pool.openCount }
         metrics.gauge(GatewayMetric.UPSTREAMS) { state.upstreams.size }
         metrics.gauge(GatewayMetric.CONFIGURATION_VERSION) { state.routes?.version?.value ?: 0 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayMetrics.kt
@@ -79,6 +79,10 @@
         "Connections closed or refused to bound what callers hold"
     ),
     HELD_BYTES("shallotplank.gateway.held.bytes", "Memory held for callers, estimated"),
+    MESSAGE_BYTES(
+        "shallotplank.gateway.message.bytes",
+        "Memory held for messages of the store, engines and other entries"
+    ),
     UPSTREAM_CONNECTIONS(
         "shallotplank.gateway.upstream.connections",
         "Open connections to upstreams"
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
@@ -1,6 +1,5 @@
 package org.shallotplank.gateway
 
-import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import java.util.concurrent.CountDownLatch
@@ -24,6 +23,7 @@
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.gateway.group.RankPort
+import org.shallotplank.gateway.http.HttpClients
 import org.shallotplank.gateway.log.JsonLogWriter
 import org.shallotplank.gateway.store.MetadataStore
 
@@ -44,16 +44,16 @@
  *
  * Everything runs on one event loop, so that no state is shared between threads.
  *
- * @param store opens the client of the store on the given event loop.
- * @param ranks opens the client of the rank groups' engines on the given event loop.
+ * @param store opens the client of the store with the given clients.
+ * @param ranks opens the client of the rank groups' engines with the given clients.
  */
 public class GatewayProcess(
     private val settings: GatewayEntrySettings,
     private val headers: HeaderNames,
     private val schema: StoreSchema,
     private val directory: DirectoryWire,
-    private val store: (EventLoopGroup) -> MetadataStore,
-    private val ranks: (EventLoopGroup, (LogRecord) -> Unit) -> RankPort,
+    private val store: (HttpClients) -> MetadataStore,
+    private val ranks: (HttpClients, (LogRecord) -> Unit) -> RankPort,
     private val environment: GatewayEnvironment
 ) {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -72,10 +72,11 @@
         metrics = metrics,
         log = ::log
     )
+    private val clients = HttpClients(group, exchanges.messages)
     private val clusterView = ClusterView(
         settings = settings,
         schema = schema,
-        group = group,
+        clients = clients,
         scope = scope,
         environment = environment,
         exchanges = exchanges,
@@ -101,7 +102,7 @@
         interfaces.start()
         loop.execute {
             lastTickAt = clock.now()
-            clusterView.start(store(group), ranks(group, ::log))
+            clusterView.start(store(clients), ranks(clients, ::log))
         }
         loop.scheduleAtFixedRate(
             ::tick,
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GroupKeeping.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GroupKeeping.kt
@@ -1,6 +1,5 @@
 package org.shallotplank.gateway
 
-import io.netty.channel.EventLoopGroup
 import kotlin.time.Instant
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -16,6 +15,7 @@
 import org.shallotplank.gateway.group.LeaseGuard
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.group.confirmedAt
+import org.shallotplank.gateway.http.HttpClients
 import org.shallotplank.gateway.peer.DelegatedHold
 import org.shallotplank.gateway.peer.PeerReports
 import org.shallotplank.gateway.peer.SeenLease
@@ -36,7 +36,7 @@
     private val settings: GatewayEntrySettings,
     private val schema: StoreSchema,
     private val environment: GatewayEnvironment,
-    private val group: EventLoopGroup,
+    private val clients: HttpClients,
     private val scope: CoroutineScope,
     private val exchanges: GatewayExchanges,
     private val reports: () -> PeerReports,
@@ -107,7 +107,7 @@
         if (!settings.areFencesChecked) return OrderOutcome.NO_ANSWER
         val peer = reports().servingAddresses.randomOrNull(environment.random)
             ?: return OrderOutcome.NO_ANSWER
-        return delegate(hold, peer, group)
+        return delegate(hold, peer, clients)
     }
 
     private fun keeperContext() = KeeperContext(
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/budget/MemoryBudget.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/budget/MemoryBudget.kt
@@ -95,9 +95,18 @@
  *
  * Above [pauseBytes], connections that hold more than [smallBytes] are not read from, except the
  * one that goes first, so that it can complete within the rest. At [maxBytes], the connection that
- * holds most for longest without progress is closed. Not thread-safe.
+ * holds most for longest without progress is closed.
+ *
+ * Messages of other processes have [messageReserveBytes] to themselves, so that the process holds
+ * at most the sum of both. Above their reserve they use what connections leave free, and count as
+ * these do; a message that finds no room is dropped and [onMessageRefused] called. Not thread-safe.
  */
-internal class MemoryBudget(public val maxBytes: Long, private val now: () -> Instant) {
+internal class MemoryBudget(
+    public val maxBytes: Long,
+    private val messageReserveBytes: Long = MESSAGE_RESERVE_BYTES,
+    private val onMessageRefused: () -> Unit = {},
+    private val now: () -> Instant
+) : MessageMemory {
     private val shares = LinkedHashSet<MemoryShare>()
     private var first: MemoryShare? = null
 
@@ -107,16 +116,38 @@
     /** Bytes of a connection that is read from also above [pauseBytes]. */
     val smallBytes: Long = minOf(maxBytes / SMALL_DIVISOR, MAX_SMALL_BYTES)
 
-    /** Bytes held for all connections. */
+    /** Bytes held for all connections, and for messages above their reserve. */
     var usedBytes: Long = 0
         private set
 
+    /** Bytes held for messages of other processes. */
+    var messageBytes: Long = 0
+        private set
+
     /** Whether reading is bounded. */
     val isPressed: Boolean get() = usedBytes > pauseBytes
 
     /** Opens the share of a connection, which [close] closes. */
     fun open(close: () -> Unit): MemoryShare = MemoryShare(this, now(), close).also { shares += it }
 
+    override fun hold(bytes: Long): Boolean {
+        val added = aboveReserve(messageBytes + bytes) - aboveReserve(messageBytes)
+        if (added > 0 && usedBytes + added > maxBytes) {
+            onMessageRefused()
+            return false
+        }
+        messageBytes += bytes
+        usedBytes += added
+        return true
+    }
+
+    override fun free(bytes: Long) {
+        usedBytes -= aboveReserve(messageBytes) - aboveReserve(messageBytes - bytes)
+        messageBytes -= bytes
+    }
+
+    private fun aboveReserve(bytes: Long): Long = maxOf(0, bytes - messageReserveBytes)
+
     internal fun onChange(change: Long) {
         usedBytes += change
         if (change <= 0) return
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/budget/ShedCause.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/budget/ShedCause.kt
@@ -6,8 +6,18 @@
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
 
-/** Why a connection was closed or refused to bound what callers hold. */
-public enum class ShedCause { MEMORY, CONNECTIONS, SLOW_SENDER, SLOW_READER, PIPELINED, FIELDS }
+/** Why a connection was closed or refused to bound what callers and other processes hold. */
+public enum class ShedCause {
+    MEMORY,
+    CONNECTIONS,
+    SLOW_SENDER,
+    SLOW_READER,
+    PIPELINED,
+    FIELDS,
+
+    /** A message of the store, an engine or another entry found no room. */
+    MESSAGES
+}
 
 /** Counts by cause and logs the counts in one line per second at most. */
 internal class ShedLog(
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
@@ -19,12 +19,14 @@
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import org.shallotplank.core.Address
+import org.shallotplank.gateway.budget.MessageMemory
 
 /** Why an [HttpCall] got no answer; the peer may still have processed it. */
 public enum class CallFailure { NOT_CONNECTED, CONNECTION_LOST, TIMED_OUT }
@@ -33,9 +35,14 @@
  * Client for small calls to one peer, one at a time on a persistent connection.
  *
  * A failed or cancelled call closes the connection, so that its late answer is never mistaken for
- * that of another call. Use the client only on the event loop of [group].
+ * that of another call. An answer counts in [memory] until it is decoded, and a call whose answer
+ * finds no room there fails. Use the client only on the event loop of [group].
  */
-public class HttpClient(private val group: EventLoopGroup, private val address: Address) {
+public class HttpClient(
+    private val group: EventLoopGroup,
+    private val address: Address,
+    private val memory: MessageMemory? = null
+) {
     private var channel: Channel? = null
     private var onReply: ((Either<CallFailure, HttpReply>) -> Unit)? = null
 
@@ -89,17 +96,22 @@
 
     private fun initializer() = object : ChannelInitializer<SocketChannel>() {
         override fun initChannel(created: SocketChannel) {
+            val counter = memory?.let(::MessageCounter)
             created.pipeline()
                 .addLast(HttpClientCodec())
                 .addLast(EndOfInputHandler())
                 .addLast(InvalidHeadHandler())
+            counter?.let { created.pipeline().addLast(it) }
+            created.pipeline()
                 .addLast(HttpObjectAggregator(MAX_REPLY_BYTES))
-                .addLast(ReplyHandler())
+                .addLast(ReplyHandler(counter))
         }
     }
 
-    private inner class ReplyHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
+    private inner class ReplyHandler(private val counter: MessageCounter?) :
+        SimpleChannelInboundHandler<FullHttpResponse>() {
         override fun channelRead0(context: ChannelHandlerContext, message: FullHttpResponse) {
+            freeWhenDecoded(context)
             if (context.channel() !== channel) return
             if (message.decoderResult().isFailure) {
                 context.close()
@@ -114,6 +126,15 @@
             finish(HttpReply(message.status().code(), body, headers = headers).right())
         }
 
+        private fun freeWhenDecoded(context: ChannelHandlerContext) {
+            val bytes = counter?.take()?.takeIf { it > 0 } ?: return
+            context.channel().eventLoop().schedule(
+                { counter.free(bytes) },
+                DECODING_TIME.inWholeMilliseconds,
+                TimeUnit.MILLISECONDS
+            )
+        }
+
         override fun channelInactive(context: ChannelHandlerContext) {
             if (context.channel() !== channel) return
             channel = null
@@ -136,6 +157,12 @@
         /** An answer may hold a whole table, at most one megabyte of values in base64. */
         const val MAX_REPLY_BYTES = 4 * 1_048_576
 
+        /**
+         * Callers decode an answer in the next turns of the event loop, before a task of this delay
+         * can run.
+         */
+        val DECODING_TIME = 20.milliseconds
+
         /** Below 1 s, after which most systems retransmit a lost SYN. */
         val CONNECT_TIMEOUT = 700.milliseconds
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/DelegatedHold.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/DelegatedHold.kt
@@ -1,6 +1,5 @@
 package org.shallotplank.gateway.peer
 
-import io.netty.channel.EventLoopGroup
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
@@ -15,7 +14,7 @@
 import org.shallotplank.gateway.group.RankAddress
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.http.HttpCall
-import org.shallotplank.gateway.http.HttpClient
+import org.shallotplank.gateway.http.HttpClients
 
 /** The order to hold [step] at a rank, which a keeper asks another entry to send. */
 @Serializable
@@ -39,10 +38,10 @@
 internal suspend fun delegate(
     hold: DelegatedHold,
     peer: Address,
-    group: EventLoopGroup
+    clients: HttpClients
 ): OrderOutcome {
     val call = HttpCall("POST", HOLD_PATH, Cbor.encodeToByteArray(hold), HttpCall.CBOR)
-    val client = HttpClient(group, peer)
+    val client = clients.to(peer)
     val reply = try {
         client.call(call, DELEGATION_TIMEOUT).getOrNull()?.takeIf { it.status == OK }
     } finally {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/EntryExchange.kt
@@ -1,6 +1,5 @@
 package org.shallotplank.gateway.peer
 
-import io.netty.channel.EventLoopGroup
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
@@ -17,10 +16,11 @@
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.gateway.http.HttpClient
+import org.shallotplank.gateway.http.HttpClients
 
 /** What an entry needs for exchanges. */
 internal class ExchangeContext(
-    val group: EventLoopGroup,
+    val clients: HttpClients,
     val scope: CoroutineScope,
     val clock: Clock,
     val random: Random,
@@ -150,7 +150,7 @@
     }
 
     private suspend fun takeMembers(hub: Address) {
-        val link = HubLink(context.group, hub)
+        val link = HubLink(context.clients, hub)
         try {
             // The plan drops a hub whose report has become too old, which cancels this job.
             while (true) {
@@ -168,7 +168,7 @@
             val source = plan.sources.firstOrNull()
             if (source != link?.address) {
                 link?.client?.close()
-                link = source?.let { HubLink(context.group, it) }
+                link = source?.let { HubLink(context.clients, it) }
             }
             val hub = link
             val isDone = hub == null || isAnswered { caller.ask(hub, isHub = false) }
@@ -196,7 +196,7 @@
         if (view.isFollowed) return
         view.isFollowed = true
         context.scope.launch {
-            val client = HttpClient(context.group, view.address)
+            val client = context.clients.to(view.address)
             try {
                 follow(view, client)
             } finally {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeCaller.kt
@@ -1,6 +1,5 @@
 package org.shallotplank.gateway.peer
 
-import io.netty.channel.EventLoopGroup
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -13,11 +12,12 @@
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.gateway.http.HttpCall
 import org.shallotplank.gateway.http.HttpClient
+import org.shallotplank.gateway.http.HttpClients
 import org.shallotplank.gateway.http.HttpReply
 
 /** The connection to a hub, and the basis for the age of the next report sent to it. */
-internal class HubLink(group: EventLoopGroup, val address: Address) {
-    val client = HttpClient(group, address)
+internal class HubLink(clients: HttpClients, val address: Address) {
+    val client = clients.to(address)
     private var incarnation = 0L
     private var sentAtMillis = 0L
     private var arrivedAt: Instant? = null
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/Peers.kt
@@ -1,6 +1,5 @@
 package org.shallotplank.gateway.peer
 
-import io.netty.channel.EventLoopGroup
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -20,6 +19,7 @@
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.gateway.http.HttpCall
 import org.shallotplank.gateway.http.HttpClient
+import org.shallotplank.gateway.http.HttpClients
 
 /**
  * The other entries and their reports, which it polls or gets by exchange (see [EntryExchange]).
@@ -27,7 +27,7 @@
  * An entry counts as alive if its last report was made less than [livenessTimeout] ago.
  */
 internal class Peers(
-    private val group: EventLoopGroup,
+    private val clients: HttpClients,
     private val own: Address,
     private val scope: CoroutineScope,
     private val clock: Clock,
@@ -90,7 +90,7 @@
     }.forEach(::updateLiveness)
 
     private suspend fun poll(view: PeerView) {
-        val client = HttpClient(group, view.address)
+        val client = clients.to(view.address)
         try {
             while (true) {
                 val requestedAt = clock.now()
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/ExchangeAgeTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/ExchangeAgeTest.kt
@@ -23,6 +23,7 @@
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.ZoneName
 import org.shallotplank.core.gateway.EntryLocation
+import org.shallotplank.gateway.http.HttpClients
 import org.shallotplank.gateway.peer.ContactBasis
 import org.shallotplank.gateway.peer.EntryTable
 import org.shallotplank.gateway.peer.ExchangeAnswer
@@ -56,7 +57,7 @@
     private var suspendedAt = Instant.DISTANT_PAST
     private val learned = mutableListOf<PeerRows>()
     private val peers = Peers(
-        group = group,
+        clients = HttpClients(group),
         own = HUB,
         scope = scope,
         clock = clock,
@@ -73,7 +74,7 @@
     )
     private val answers = ExchangeAnswers(
         context = ExchangeContext(
-            group = group,
+            clients = HttpClients(group),
             scope = scope,
             clock = clock,
             random = Random(1),
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/SimultaneousStartTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/SimultaneousStartTest.kt
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.Address
 import org.shallotplank.gateway.http.HttpCall
+import org.shallotplank.gateway.http.HttpClients
 import org.shallotplank.gateway.http.HttpEndpoint
 import org.shallotplank.gateway.http.HttpReply
 import org.shallotplank.gateway.peer.PeerReport
@@ -71,7 +72,7 @@
         fun `discover the later one within half a second`() {
             val (first, later) = List(2) { LoopbackAddresses.reserve() }
             val peers = Peers(
-                group = group,
+                clients = HttpClients(group),
                 own = Address("127.0.0.1", 1),
                 scope = scope,
                 clock = Clock.System,
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/budget/MemoryBudgetTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/budget/MemoryBudgetTest.kt
@@ -10,7 +10,13 @@
 
 class MemoryBudgetTest {
     private var now = Instant.fromEpochSeconds(1_000)
-    private val budget = MemoryBudget(maxBytes = 1_000_000) { now }
+    private var dropped = 0
+    private val budget = MemoryBudget(
+        maxBytes = 1_000_000,
+        messageReserveBytes = 100_000,
+        onMessageRefused = { dropped++ },
+        now = { now }
+    )
     private val closed = mutableListOf<String>()
 
     private fun open(name: String, bytes: Long = 0, running: Boolean = false) =
@@ -60,6 +66,35 @@
         }
     }
 
+    /** Guards against callers that keep an entry from its store, and against many long messages. */
+    @Nested
+    inner class Messages {
+        @Test
+        fun `have a reserve that callers cannot use`() {
+            open("callers", 1_000_000)
+            assertTrue(budget.hold(100_000))
+            assertTrue(closed.isEmpty())
+            assertFalse(budget.hold(1))
+            assertEquals(1, dropped)
+            budget.free(100_000)
+            assertTrue(budget.hold(60_000))
+            assertEquals(1_000_000, budget.usedBytes)
+        }
+
+        @Test
+        fun `use what callers leave free and count like them above the reserve`() {
+            open("callers", 400_000)
+            assertTrue(budget.hold(700_000))
+            assertEquals(1_000_000, budget.usedBytes)
+            assertFalse(budget.hold(1))
+            assertTrue(closed.isEmpty())
+            budget.free(650_000)
+            assertEquals(400_000, budget.usedBytes)
+            budget.free(50_000)
+            assertEquals(0, budget.messageBytes)
+        }
+    }
+
     /** Guards against refusals of callers that could be served one after the other. */
     @Nested
     inner class BelowTheLimit {
