Split the connection of a caller and the exchanges of an entry

RequestReader now reads requests from decoded parts and CallerTimeouts decides which timeout is exceeded; EffectRunner carries out the reducer's effects, OpenExchanges holds the requests that have not ended, and PauseReports collects the pauses of streams.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -11,16 +11,12 @@
 import kotlinx.collections.immutable.toPersistentMap
 import org.shallotplank.config.GatewayEntrySettings
 import org.shallotplank.core.RequestId
-import org.shallotplank.core.ServiceName
 import org.shallotplank.core.gateway.AttemptProgress
 import org.shallotplank.core.gateway.CallerLimits
-import org.shallotplank.core.gateway.ConnectFailure
-import org.shallotplank.core.gateway.GatewayEffect
 import org.shallotplank.core.gateway.GatewayEvent
 import org.shallotplank.core.gateway.GatewayRequest
 import org.shallotplank.core.gateway.GatewayState
 import org.shallotplank.core.gateway.UpstreamKey
-import org.shallotplank.core.gateway.acceptsRequests
 import org.shallotplank.core.gateway.isRefusedBeforeBody
 import org.shallotplank.core.gateway.needsProgress
 import org.shallotplank.core.gateway.on
@@ -43,11 +39,7 @@
 import org.shallotplank.gateway.caller.requestSizeOf
 import org.shallotplank.gateway.caller.sharedPartsOf
 import org.shallotplank.gateway.upstream.AttemptContext
-import org.shallotplank.gateway.upstream.UpstreamAttempt
-import org.shallotplank.gateway.upstream.UpstreamConnection
 import org.shallotplank.gateway.upstream.UpstreamPool
-import org.shallotplank.gateway.upstream.UpstreamTarget
-import org.shallotplank.gateway.upstream.forwardedRequest
 
 /**
  * Passes events of the connections to the reducer and carries out the effects that it requests.
@@ -79,13 +71,24 @@
         budget
     )
     private val attempts = AttemptContext(headers, clock, pool, ::emit, log, ::recordPause)
-    private val open = LinkedHashMap<RequestId, Exchange>()
-    private val openByConnection = HashMap<CallerConnection, Exchange>()
+    private val open = OpenExchanges { outcome, exchange ->
+        metrics.ended(outcome, clock.now() - exchange.arrivedAt)
+    }
+    private val effects = EffectRunner(
+        open = open,
+        pool = pool,
+        headers = headers,
+        attempts = attempts,
+        clock = clock,
+        state = { state },
+        emit = ::emit,
+        onCrash = { onCrash(it) },
+        log = log
+    )
     private val events = ArrayDeque<GatewayEvent>()
     private var isReducing = false
     private var requestCount = 0L
-    private val pausesByService = HashMap<ServiceName, MutableList<Duration>>()
-    private var pausesReportedAt: Instant = clock.now()
+    private val pauses = PauseReports(clock.now())
     private var sweptAt: Instant = clock.now()
 
     /** Counts messages of other processes in the budget of this one. */
@@ -143,13 +146,13 @@
     private fun reduce(event: GatewayEvent) {
         val transition = state.on(event, clock.now(), environment.random)
         state = transition.state
-        transition.effects.forEach(::perform)
-        if (event is GatewayEvent.AnswerEnded) finish(event.requestId, RequestOutcome.ANSWERED)
+        transition.effects.forEach(effects::perform)
+        if (event is GatewayEvent.AnswerEnded) open.finish(event.requestId, RequestOutcome.ANSWERED)
     }
 
     /** Reports the time and silent upstreams to the reducer; closes overdue connections. */
     fun tick(now: Instant) {
-        for (exchange in open.values.toList()) {
+        for (exchange in open.all) {
             val attempt = exchange.attempt?.takeIf { it.isRunning } ?: continue
             val silence = attempt.timeSinceProgress(now)
             if (silence >= MIN_REPORTED_SILENCE) {
@@ -157,7 +160,7 @@
             }
         }
         if (state.needsProgress) reportProgress()
-        if (now - pausesReportedAt >= PAUSE_REPORT_INTERVAL) reportPauses(now)
+        pauses.takeDue(now)?.let { emit(GatewayEvent.PausesObserved(it)) }
         emit(GatewayEvent.Tick)
         budget.sweep()
         shedLog.write(now)
@@ -172,7 +175,7 @@
     fun workToReport(): ReportedWork? = state.workToReport(clock.now())
 
     private fun reportProgress() {
-        val received = open.values.mapNotNull { exchange ->
+        val received = open.all.mapNotNull { exchange ->
             val attempt = exchange.attempt?.takeIf { it.isRunning && it.eventCount > 0 }
             attempt?.let { exchange.id to AttemptProgress(it.attemptNumber, it.eventCount) }
         }
@@ -182,17 +185,7 @@
 
     private fun recordPause(upstream: UpstreamKey, pause: Duration) {
         val service = state.upstreams[upstream]?.record?.service ?: return
-        pausesByService.getOrPut(service) { mutableListOf() } += pause
-    }
-
-    private fun reportPauses(now: Instant) {
-        pausesReportedAt = now
-        if (pausesByService.isEmpty()) return
-        val quantiles = pausesByService.mapValues { (_, pauses) ->
-            pauses.sorted()[(pauses.size * PAUSE_QUANTILE).toInt().coerceAtMost(pauses.lastIndex)]
-        }
-        pausesByService.clear()
-        emit(GatewayEvent.PausesObserved(quantiles.toPersistentMap()))
+        pauses.record(service, pause)
     }
 
     override fun onRequest(connection: CallerConnection, message: CallerMessage) {
@@ -201,8 +194,7 @@
         val incarnation = environment.incarnation.toString(ID_RADIX)
         val id = RequestId("${settings.instanceId}-$incarnation-$requestCount")
         val exchange = Exchange(id, connection, message, now)
-        open[id] = exchange
-        openByConnection[connection] = exchange
+        open.add(exchange)
         val request = GatewayRequest(
             id = id,
             attemptId = message.headers[headers.attemptId],
@@ -260,123 +252,13 @@
     )
 
     override fun onClosed(connection: CallerConnection, isAnswerOpen: Boolean) {
-        val exchange = openByConnection[connection] ?: return
+        val exchange = open.of(connection) ?: return
         emit(GatewayEvent.CallerLeft(exchange.id))
-        finish(exchange.id, RequestOutcome.CALLER_LEFT)
+        open.finish(exchange.id, RequestOutcome.CALLER_LEFT)
     }
 
     override fun onWritable(connection: CallerConnection, isWritable: Boolean) {
-        openByConnection[connection]?.attempt?.setReading(isWritable)
-    }
-
-    private fun perform(effect: GatewayEffect) {
-        when (effect) {
-            is GatewayEffect.Send -> send(effect)
-            is GatewayEffect.CancelAttempt -> withdraw(effect)
-            is GatewayEffect.DeliverHeld -> deliver(effect.requestId)
-            is GatewayEffect.Refuse -> refuse(effect)
-            is GatewayEffect.Cut -> cut(effect.requestId)
-            is GatewayEffect.CheckAlive -> checkAlive(effect)
-            is GatewayEffect.ShareCrash -> onCrash(effect.record)
-            is GatewayEffect.Log -> log(effect.record)
-        }
-    }
-
-    private fun send(send: GatewayEffect.Send) {
-        val exchange = open[send.requestId] ?: return
-        val target = UpstreamTarget(send.upstream, send.address)
-        val attempt = UpstreamAttempt(exchange, send.attempt, target, send.isStream, attempts)
-        exchange.attempt = attempt
-        exchange.held = null
-        pool.acquire(target, send.needsNewConnection, send.maxConnections) { result ->
-            result.fold(
-                ifLeft = { cause ->
-                    if (attempt.isRunning) {
-                        attempt.cancel()
-                        emit(GatewayEvent.ConnectFailed(send.requestId, send.attempt, cause))
-                    }
-                },
-                ifRight = { connection ->
-                    if (attempt.isRunning) {
-                        start(attempt, connection, send)
-                    } else {
-                        pool.release(target, connection)
-                    }
-                }
-            )
-        }
-    }
-
-    /** Sends the request, unless its upstream stopped accepting requests during the connect. */
-    private fun start(
-        attempt: UpstreamAttempt,
-        connection: UpstreamConnection,
-        send: GatewayEffect.Send
-    ) {
-        val exchange = open[send.requestId]
-        if (exchange != null && state.acceptsRequests(send.upstream, clock.now())) {
-            attempt.start(connection, forwardedRequest(exchange, send, headers))
-            return
-        }
-        attempt.cancel()
-        pool.release(UpstreamTarget(send.upstream, send.address), connection)
-        emit(
-            GatewayEvent.ConnectFailed(send.requestId, send.attempt, ConnectFailure.UNWANTED)
-        )
-    }
-
-    private fun withdraw(withdraw: GatewayEffect.CancelAttempt) {
-        open[withdraw.requestId]?.attempt
-            ?.takeIf { it.attemptNumber == withdraw.attempt }
-            ?.cancel()
-    }
-
-    private fun deliver(id: RequestId) {
-        val exchange = open[id] ?: return
-        val held = exchange.held ?: return
-        val attempt = exchange.attempt ?: return
-        val status = held.status().code()
-        if (exchange.isAnswerBegun) {
-            exchange.connection.cut()
-        } else {
-            exchange.connection.sendWhole(held.retain())
-        }
-        emit(GatewayEvent.AnswerEnded(id, attempt.attemptNumber, status))
-    }
-
-    private fun refuse(refuse: GatewayEffect.Refuse) {
-        val exchange = open[refuse.requestId] ?: return
-        val outcome = when {
-            refuse.status == STATUS_UNAVAILABLE -> RequestOutcome.REFUSED
-            refuse.status < STATUS_SERVER_ERROR -> RequestOutcome.REJECTED
-            else -> RequestOutcome.FAILED
-        }
-        finish(refuse.requestId, outcome)
-        exchange.connection.sendError(
-            refuse.status,
-            refuse.reason.name.lowercase(),
-            refuse.retryAfter
-        )
-    }
-
-    private fun cut(id: RequestId) {
-        val exchange = open[id] ?: return
-        finish(id, RequestOutcome.CUT)
-        exchange.connection.cut()
-    }
-
-    private fun checkAlive(check: GatewayEffect.CheckAlive) {
-        pool.check(UpstreamTarget(check.upstream, check.address)) { isRefused ->
-            if (isRefused) emit(GatewayEvent.UpstreamCrashed(check.upstream))
-        }
-    }
-
-    private fun finish(id: RequestId, outcome: RequestOutcome) {
-        val exchange = open.remove(id) ?: return
-        openByConnection.remove(exchange.connection, exchange)
-        metrics.ended(outcome, clock.now() - exchange.arrivedAt)
-        exchange.attempt?.cancel()
-        exchange.release()
+        open.of(connection)?.attempt?.setReading(isWritable)
     }
 
     private companion object {
@@ -384,14 +266,6 @@
 
         /** Share of the connections for callers, each of which may need one to an upstream. */
         const val CALLER_CONNECTION_SHARE = 0.6
-        const val STATUS_SERVER_ERROR = 500
-        const val STATUS_UNAVAILABLE = 503
-
-        /** Covers a few steps of an engine. */
-        val PAUSE_REPORT_INTERVAL = 200.milliseconds
-
-        /** A high quantile, since a single long pause makes an answer late. */
-        const val PAUSE_QUANTILE = 0.9
 
         /** Shorter silences are not reported. */
         val MIN_REPORTED_SILENCE: Duration = 300.milliseconds
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/caller/CallerConnection.kt
@@ -5,10 +5,8 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMessage
@@ -17,10 +15,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
 import kotlin.time.Clock
@@ -32,7 +27,6 @@
 import org.shallotplank.gateway.budget.MemoryBudget
 import org.shallotplank.gateway.budget.ShedCause
 import org.shallotplank.gateway.http.CountedHeadersFactory
-import org.shallotplank.gateway.http.TooManyFieldsException
 
 /**
  * One connection of a caller: reads one request at a time and writes its answer.
@@ -45,24 +39,20 @@
     private val channel: Channel,
     private val listener: CallerListener,
     private val clock: Clock,
-    private val budget: MemoryBudget,
+    budget: MemoryBudget,
     private val fields: CountedHeadersFactory
 ) : ChannelInboundHandlerAdapter() {
-    private val share = budget.open(::closeForMemory)
+    private val share = budget.open(::closeForMemory).also { it.onPaused = ::onPaused }
     private val answers = AnswerWriter(channel, share, clock)
     private val pending = PendingParts()
-    private var arriving: ArrivingRequest? = null
     private var isAnswerOpen = false
     private var closesAfterAnswer = false
     private var discarded: DiscardedRequest? = null
     private var isClosing = false
-    private var headerStartedAt: Instant? = null
-    private var headBytes = 0L
     private var lastReadAt: Instant = clock.now()
-
-    init {
-        share.onPaused = ::onPaused
-    }
+    private val reader =
+        RequestReader(channel, listener, budget, share, fields, clock::now) { isClosing }
+    private val timeouts = CallerTimeouts(listener, reader, answers)
 
     /** Address of the caller, for the logs. */
     val remote: String get() = channel.remoteAddress().toString()
@@ -72,8 +62,8 @@
         isClosing = isClosing && !answers.isUnread,
         isRunning = isAnswerOpen || share.isPaused,
         silence = now - if (answers.isUnread) answers.progressAt else lastReadAt,
-        arrivingFor = (arriving?.startedAt ?: headerStartedAt)?.let { now - it },
-        arrivedBytes = arriving?.body?.size?.toLong() ?: headBytes
+        arrivingFor = reader.startedAt?.let { now - it },
+        arrivedBytes = reader.arrivedBytes
     )
 
     /** Records the arrival of [count] bytes, before they are decoded. */
@@ -81,16 +71,11 @@
         lastReadAt = clock.now()
         share.onProgress(lastReadAt)
         val isQueued = isAnswerOpen || !pending.isEmpty || !channel.isWritable
-        if (isQueued || isClosing || arriving != null) return
-        headBytes += count
-        if (headerStartedAt == null) headerStartedAt = lastReadAt
+        if (!isQueued && !isClosing) reader.onBytes(count, lastReadAt)
     }
 
     /** Counts what the decoder holds of a head, after it has decoded what arrived. */
-    fun onDecoded() {
-        if (headerStartedAt == null || isClosing) return
-        share.set(HeldFor.HEAD, headBytes * 2 + (fields.latest?.weightBytes ?: 0))
-    }
+    fun onDecoded(): Unit = reader.onDecoded()
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         if (message !is HttpObject || isClosing || discarded != null) {
@@ -117,52 +102,11 @@
     }
 
     private fun process(message: HttpObject) {
-        if (message.decoderResult().isFailure) {
-            ReferenceCountUtil.release(message)
-            rejectUndecodable(message.decoderResult().cause())
-            return
-        }
-        if (message is HttpRequest) onHead(message)
-        if (message is HttpContent) {
-            try {
-                if (!isClosing) onBody(message)
-            } finally {
-                message.release()
-            }
-        }
-    }
-
-    private fun rejectUndecodable(cause: Throwable) = when (cause) {
-        is TooManyFieldsException -> {
-            listener.onShed(this, ShedCause.FIELDS)
-            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "too many fields")
-        }
-        is TooLongHttpHeaderException, is TooLongHttpLineException ->
-            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "header too large")
-        else -> reject(HttpResponseStatus.BAD_REQUEST, "not a valid request: ${cause.message}")
-    }
-
-    private fun onHead(request: HttpRequest) {
-        headerStartedAt = null
-        headBytes = 0
-        val length = HttpUtil.getContentLength(request, 0L)
-        val hasBody = length > 0 || HttpUtil.isTransferEncodingChunked(request)
-        when {
-            request.headers().getAll(HttpHeaderNames.HOST).size != 1 ->
-                reject(HttpResponseStatus.BAD_REQUEST, "not exactly one Host header")
-            length > listener.limits.maxBodyBytes ->
-                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
-            hasBody && listener.isRefusedBeforeBody(request) -> refuseBeforeBody(request)
-            else -> {
-                val announced = length.takeIf { HttpUtil.isContentLengthSet(request) }
-                arriving = ArrivingRequest(request, channel.alloc(), announced, clock.now())
-                share.set(HeldFor.HEAD, weightOf(request))
-                if (HttpUtil.is100ContinueExpected(request)) {
-                    channel.writeAndFlush(
-                        DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
-                    )
-                }
-            }
+        when (val reading = reader.read(message)) {
+            is RequestReading.Incomplete -> Unit
+            is RequestReading.Complete -> finishRequest(reading.head, reading.body)
+            is RequestReading.RefusedBeforeBody -> refuseBeforeBody(reading.head)
+            is RequestReading.Rejected -> reject(reading)
         }
     }
 
@@ -173,25 +117,6 @@
         finishRequest(request, Unpooled.EMPTY_BUFFER)
     }
 
-    private fun onBody(content: HttpContent) {
-        val request = arriving ?: return
-        val size = request.body.size + content.content().readableBytes()
-        if (size > listener.limits.maxBodyBytes) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
-            return
-        }
-        request.body.append(content.content())
-        share.set(HeldFor.BODY, request.body.allocatedBytes)
-        // Counting may have closed this connection.
-        if (isClosing) return
-        if (content is LastHttpContent) {
-            arriving = null
-            finishRequest(request.head, request.body.complete())
-        } else {
-            budget.pauseIfPressed(share)
-        }
-    }
-
     private fun finishRequest(request: HttpRequest, received: ByteBuf) {
         isAnswerOpen = true
         share.isRunning = true
@@ -203,16 +128,25 @@
     private fun reject(status: HttpResponseStatus, detail: String) {
         listener.onInvalid(this, status.code(), detail)
         isClosing = true
-        discarded = DiscardedRequest(clock.now(), isWithinLimits = status in WITHIN_LIMITS)
+        discarded = discardedAfter(status, clock.now())
         releaseParts()
         answers.refuse(status)
     }
 
+    private fun reject(rejected: RequestReading.Rejected) {
+        rejected.shed?.let { listener.onShed(this, it) }
+        reject(rejected.status, rejected.detail)
+    }
+
+    private fun closeNow() {
+        isClosing = true
+        channel.close()
+    }
+
     private fun closeForMemory() {
         listener.onShed(this, ShedCause.MEMORY)
         if (isAnswerOpen || isClosing || answers.isUnread) {
-            isClosing = true
-            channel.close()
+            closeNow()
         } else {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much memory is held for callers")
         }
@@ -257,18 +191,15 @@
 
     /** Closes the connection in the middle of an answer. */
     fun cut() {
-        isClosing = true
         isAnswerOpen = false
-        channel.close()
+        closeNow()
     }
 
     /** Closes the connection if it is idle. */
     fun closeWhenIdle() {
-        if (isClosing) return
-        if (!isAnswerOpen && arriving == null && headerStartedAt == null) {
-            isClosing = true
-            answers.close(isMoreExpected = false)
-        }
+        if (isClosing || isAnswerOpen || !reader.isIdle) return
+        isClosing = true
+        answers.close(isMoreExpected = false)
     }
 
     private fun markClose(response: HttpMessage) {
@@ -306,7 +237,7 @@
     private fun canProcess(): Boolean = !isAnswerOpen && !isClosing && channel.isWritable
 
     private fun onPaused(isPaused: Boolean) {
-        if (!isPaused) arriving?.addPause(clock.now()) else arriving?.pausedAt = clock.now()
+        reader.onPaused(isPaused, clock.now())
         lastReadAt = clock.now()
         updateReading()
     }
@@ -318,49 +249,18 @@
 
     /** Closes the connection if the caller exceeds a timeout of [CallerLimits]. */
     fun closeIfOverdue(now: Instant) {
-        val limits = listener.limits
-        if (isStalledReader(now, limits)) {
-            listener.onShed(this, ShedCause.SLOW_READER)
-            isClosing = true
-            channel.close()
-            return
+        val overdue = when {
+            isClosing -> timeouts.whileClosing(now, lastReadAt, discarded)
+            isAnswerOpen || share.isPaused -> timeouts.ofReading(now)
+            else -> timeouts.whileOpen(now, lastReadAt)
         }
-        if (isClosing) {
-            closeIfDiscarded(now, limits)
-            return
-        }
-        if (isAnswerOpen || share.isPaused) return
-        val isHeaderLate = headerStartedAt?.let { now - it > limits.headerTimeout } ?: false
-        val isIdle = now - lastReadAt > limits.idleTimeout && !answers.isUnread
-        when {
-            isHeaderLate -> reject(HttpResponseStatus.REQUEST_TIMEOUT, "header too slow")
-            isIdle && arriving != null ->
-                reject(HttpResponseStatus.REQUEST_TIMEOUT, "body too slow")
-            isIdle -> {
-                isClosing = true
-                channel.close()
-            }
-            arriving?.isTooSlow(now, limits.idleTimeout * RATE_GRACE_TIMEOUTS) == true -> {
-                listener.onShed(this, ShedCause.SLOW_SENDER)
-                reject(HttpResponseStatus.REQUEST_TIMEOUT, "body too slow")
-            }
+        if (overdue is Overdue.Reject) reject(overdue.rejected)
+        if (overdue is Overdue.Close) {
+            overdue.shed?.let { listener.onShed(this, it) }
+            closeNow()
         }
     }
 
-    private fun closeIfDiscarded(now: Instant, limits: CallerLimits) {
-        val request = discarded ?: return
-        if (answers.isUnread) return
-        if (request.isOver(now, answers.progressAt, lastReadAt, limits)) channel.close()
-    }
-
-    /** Whether the caller reads nothing, or in calm so slowly that it cannot be told apart. */
-    private fun isStalledReader(now: Instant, limits: CallerLimits): Boolean =
-        answers.isUnreadFor(now, limits.idleTimeout) &&
-            (
-                !listener.isCalm ||
-                    answers.isUnreadFor(now, limits.idleTimeout + HIDDEN_READING_TIME)
-                )
-
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         listener.onWritable(this, channel.isWritable)
         if (channel.isWritable && !isAnswerOpen && !pending.isEmpty) processPending()
@@ -386,23 +286,13 @@
     }
 
     private fun releaseParts() {
-        arriving?.body?.release()
-        arriving = null
+        reader.release()
         pending.release()
         // The connection may stay open for a while to let the caller read its answer.
         if (!isAnswerOpen) fields.clearLatest()
-        headerStartedAt = null
         share.set(HeldFor.HEAD, 0)
         share.set(HeldFor.PIPELINED, 0)
         if (!isAnswerOpen) share.set(HeldFor.BODY, 0)
         updateReading()
     }
-
-    private companion object {
-        /** Refusals of callers that keep the limits, or do not but for the size of the body. */
-        val WITHIN_LIMITS = setOf(
-            HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-            HttpResponseStatus.SERVICE_UNAVAILABLE
-        )
-    }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/caller/DiscardedRequest.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/caller/DiscardedRequest.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.LastHttpContent
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -54,5 +55,15 @@
     }
 }
 
+/** Returns what to discard after a request was refused with [status]. */
+internal fun discardedAfter(status: HttpResponseStatus, now: Instant) =
+    DiscardedRequest(now, isWithinLimits = status in WITHIN_LIMITS)
+
+/** Refusals of callers that keep the limits, or do not but for the size of the body. */
+private val WITHIN_LIMITS = setOf(
+    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+    HttpResponseStatus.SERVICE_UNAVAILABLE
+)
+
 /** Idle timeouts after which the rate of a body counts; callers may stop and go on. */
 internal const val RATE_GRACE_TIMEOUTS = 2
