--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/EndpointConnection.kt
@@ -25,13 +25,22 @@
 internal class EndpointConnection(
     private val channel: Channel,
     private val answer: (EndpointRequest, reply: (HttpReply) -> Unit) -> Unit,
-    private val onShed: (ShedCause) -> Unit
+    private val limits: EndpointLimits,
+    private val counter: MessageCounter?
 ) : SimpleChannelInboundHandler<FullHttpRequest>() {
-    private class Waiting(val request: EndpointRequest, val isKept: Boolean)
+    private class Waiting(val request: EndpointRequest, val isKept: Boolean, val heldBytes: Long)
 
     private val waiting = ArrayDeque<Waiting>()
+
+    /** What is counted for the request that is being answered. */
+    private var answeringBytes = 0L
+
+    @Volatile
     private var isAnswering = false
 
+    @Volatile
+    private var isAnswered = false
+
     @Volatile
     private var isClosing = false
 
@@ -44,11 +53,15 @@
     @Volatile
     private var writingSince: TimeMark? = null
 
+    @Volatile
+    private var refusedAt: TimeMark? = null
+
     @Volatile
     private var arrivedBytes = 0L
 
     fun activity(): ConnectionActivity = ConnectionActivity(
         isClosing = isClosing,
+        isRepeatable = isAnswered && !isAnswering && !limits.keepsIdle,
         silence = lastActiveAt.elapsedNow(),
         arrivingFor = requestStartedAt?.elapsedNow(),
         arrivedBytes = arrivedBytes
@@ -63,12 +76,17 @@
 
     /** Closes the connection because of [cause]. */
     fun close(cause: ShedCause) {
-        onShed(cause)
+        limits.onShed(cause)
         channel.close()
     }
 
     /** Closes the connection if its client sends a request or reads an answer too slowly. */
     fun closeIfOverdue() {
+        if (isClosing) {
+            // The body of a refused request is discarded for as long as it may take to arrive.
+            if (refusedAt.isOlderThan(REQUEST_TIME)) channel.close()
+            return
+        }
         if (requestStartedAt.isOlderThan(REQUEST_TIME)) close(ShedCause.SLOW_SENDER)
         if (writingSince.isOlderThan(READING_TIME)) close(ShedCause.SLOW_READER)
     }
@@ -80,7 +98,8 @@
         val response = HttpReply(TOO_LARGE).message()
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         channel.writeAndFlush(response)
-        channel.closeAfterFlush(isMoreExpected = true)
+        refusedAt = TimeSource.Monotonic.markNow()
+        channel.shutdownOutputAfterFlush()
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
@@ -102,7 +121,7 @@
             target.parameters(),
             ByteBufUtil.getBytes(message.content())
         )
-        waiting += Waiting(request, HttpUtil.isKeepAlive(message))
+        waiting += Waiting(request, HttpUtil.isKeepAlive(message), counter?.take() ?: 0)
         answerNext()
     }
 
@@ -110,10 +129,12 @@
         if (isAnswering) return
         val next = waiting.removeFirstOrNull() ?: return
         isAnswering = true
+        answeringBytes = next.heldBytes
         answer(next.request) { send(it, next.isKept) }
     }
 
     private fun send(reply: HttpReply, isKept: Boolean) {
+        freeAnswered()
         val response = reply.message()
         if (!isKept) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
@@ -124,14 +145,27 @@
                 writingSince = null
                 lastActiveAt = TimeSource.Monotonic.markNow()
                 isAnswering = false
+                isAnswered = true
                 if (isKept && it.isSuccess) answerNext() else channel.close()
             }
         )
     }
 
+    private fun freeAnswered() {
+        counter?.free(answeringBytes)
+        answeringBytes = 0
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        freeAnswered()
+        waiting.forEach { counter?.free(it.heldBytes) }
+        waiting.clear()
+        super.channelInactive(context)
+    }
+
     @Deprecated("Netty deprecates it in the base class")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        if (cause is OutOfMemoryError) onShed(ShedCause.MEMORY)
+        if (cause is OutOfMemoryError) limits.onShed(ShedCause.MEMORY)
         context.close()
     }
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/ExchangeCallerTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/ExchangeCallerTest.kt
@@ -31,6 +31,7 @@
 import org.shallotplank.core.gateway.EntryLocation
 import org.shallotplank.gateway.http.HttpCall
 import org.shallotplank.gateway.http.HttpClient
+import org.shallotplank.gateway.http.HttpClients
 import org.shallotplank.gateway.http.HttpEndpoint
 import org.shallotplank.gateway.http.HttpReply
 import org.shallotplank.gateway.peer.EXCHANGE_PATH
@@ -65,7 +66,7 @@
         override fun now(): Instant = Clock.System.now() + offset
     }
     private val peers = Peers(
-        group = group,
+        clients = HttpClients(group),
         own = OWN,
         scope = scope,
         clock = clock,
@@ -75,7 +76,7 @@
     ).apply { track(setOf(hub), emptySet()) }
     private val tables = PeerTables(emptyList(), clock)
     private val context = ExchangeContext(
-        group = group,
+        clients = HttpClients(group),
         scope = scope,
         clock = clock,
         random = Random(1),
@@ -149,7 +150,7 @@
         fun `does not delay the next exchange`() {
             endpoint.start()
             val caller = caller { _, _ -> awaitCancellation() }
-            val link = HubLink(group, hub)
+            val link = HubLink(HttpClients(group), hub)
             // The first call also loads the classes, which takes long on a loaded machine.
             onEventLoop { repeat(3) { caller.askUntilAnswered(link) } }
         }
@@ -160,7 +161,7 @@
         /** Nobody else passes on the reports of its members, which expired in the 2 s. */
         @Test
         fun `is asked again by other hubs at once, but not by members`() {
-            val link = HubLink(group, hub)
+            val link = HubLink(HttpClients(group), hub)
             assertFalse(onEventLoop { caller().ask(link, isHub = true) })
             assertTrue((peers.view(hub)?.avoidedUntil ?: clock.now()) < clock.now())
             assertFalse(onEventLoop { caller().ask(link, isHub = false) })
@@ -174,7 +175,7 @@
         @Test
         fun `is dated before it is made`() {
             endpoint.start()
-            val link = HubLink(group, hub)
+            val link = HubLink(HttpClients(group), hub)
             onEventLoop { caller().askUntilAnswered(link) }
             reportTime = 100.seconds
             onEventLoop { caller().ask(link, isHub = false) }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/SimulatedHubs.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/SimulatedHubs.kt
@@ -15,6 +15,7 @@
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.ZoneName
 import org.shallotplank.core.gateway.EntryLocation
+import org.shallotplank.gateway.http.HttpClients
 import org.shallotplank.gateway.peer.ExchangeAnswers
 import org.shallotplank.gateway.peer.ExchangeContext
 import org.shallotplank.gateway.peer.ExchangeEntry
@@ -94,7 +95,7 @@
         private val scope = CoroutineScope(group.next().asCoroutineDispatcher())
         private val tables = PeerTables(emptyList(), clock)
         val peers = Peers(
-            group = group,
+            clients = HttpClients(group),
             own = address(name),
             scope = scope,
             clock = clock,
@@ -104,7 +105,7 @@
         ).apply { track(names.map(::address).toSet(), emptySet()) }
         private val answers = ExchangeAnswers(
             context = ExchangeContext(
-                group = group,
+                clients = HttpClients(group),
                 scope = scope,
                 clock = clock,
                 random = Random(1),
