Test that moved streams go to ranks with a free slot

The test lists a full rank of the lowest cost and one with a free slot. It passes here and failed on a scratch copy in which only the choice of upstreams with a free slot for moved streams was undone: the stream was sent to the full rank.

--- a/core/src/test/kotlin/org/shallotplank/core/gateway/MovedStreamsTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/MovedStreamsTest.kt
@@ -6,7 +6,9 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.RequestId
@@ -92,6 +94,28 @@
         }
     }
 
+    @Nested
+    inner class StreamsWhoseCheapestRankIsFull {
+        // Guards against a stream that is moved to a full rank, which ends it with its last attempt.
+        @Test
+        fun `go on at a rank with a free slot`() {
+            serveEngines(engines = 1)
+            repeat(4) { begin("r$it", sent("r$it", RequestKind.STREAM)) }
+            val far = listedUpstream("3", zone = "b", slots = 20)
+            val listed = listOf(listedUpstream("1", slots = SLOTS), full, far)
+            emit(GatewayEvent.UpstreamsListed(listed.toPersistentList()))
+            val inFlight = persistentMapOf(keyOf(full) to 100, keyOf(far) to 19)
+
+            val sent = slowFor(1.seconds, inFlight = inFlight)
+                .filterIsInstance<GatewayEffect.Send>()
+            assertEquals(listOf(keyOf(far)), sent.map { it.upstream })
+        }
+
+        private val full = listedUpstream("2", slots = 100)
+
+        private fun keyOf(upstream: ListedUpstream) = UpstreamKey(upstream.record.id, 1)
+    }
+
     @Nested
     inner class OtherRequestsOnASlowRank {
         @Test
@@ -142,7 +166,8 @@
         time: Duration,
         slow: String? = "1",
         pause: Duration = 794.milliseconds,
-        entryCount: Int = 1
+        entryCount: Int = 1,
+        inFlight: PersistentMap<UpstreamKey, Int> = persistentMapOf()
     ): List<GatewayEffect> {
         val slowdowns = if (slow ==
             null
@@ -153,7 +178,7 @@
         }
         val report = GatewayEvent.PeersReported(
             entryCount,
-            persistentMapOf(),
+            inFlight,
             slowdowns = slowdowns
         )
         val end = now + time
