--- a/core/src/test/kotlin/org/shallotplank/core/admission/StarvingPriorityTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/admission/StarvingPriorityTest.kt
@@ -7,8 +7,8 @@
 import org.shallotplank.core.config.Priority
 
 /**
- * Load pattern: urgent requests alone exceed the capacity and can wait long, so that less urgent ones
- * with a short goal are never expected to start in time in the order of urgency.
+ * Load pattern: urgent requests alone exceed the capacity and can wait long, so that less urgent
+ * ones with a short goal are never expected to start in time in the order of urgency.
  */
 class StarvingPriorityTest {
     // Guards against requests that are refused on arrival and can never be chosen.
--- a/core/src/test/kotlin/org/shallotplank/core/gateway/MovedStreamsTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/gateway/MovedStreamsTest.kt
@@ -96,7 +96,7 @@
 
     @Nested
     inner class StreamsWhoseCheapestRankIsFull {
-        // Guards against a stream that is moved to a full rank, which ends it with its last attempt.
+        // Guards against a stream that is moved to a full rank and ends there on its last attempt.
         @Test
         fun `go on at a rank with a free slot`() {
             serveEngines(engines = 1)
