--- a/core/src/main/kotlin/org/shallotplank/core/admission/UrgentAdmission.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/UrgentAdmission.kt
@@ -47,6 +47,21 @@
     return elsewhere.moreUrgentThan(priority).roundToInt().coerceAtMost(above)
 }
 
+/**
+ * Admissions until [request] starts if its priority starves, else no bound.
+ *
+ * Without it, a request behind many more urgent ones would be refused before it can be chosen.
+ */
+internal fun AdmissionQueue.admissionsIfStarving(request: AdmissionRequest): Int {
+    val observed = urgency?.takeIf { it.isStarving(request.priority) } ?: return Int.MAX_VALUE
+    val ahead = waiting.count {
+        it.id != request.id &&
+            it.priority == request.priority &&
+            precedence.compare(it, request) <= 0
+    }
+    return observed.admissionsUntilStarving(ahead)
+}
+
 /** Expected time until one of the running requests ends. */
 private val AdmissionQueue.timeUntilFree: Duration
     get() = (serviceTime ?: Duration.ZERO) / running.size.coerceAtLeast(1)
@@ -61,12 +76,12 @@
         .maxWithOrNull(precedence)
 }
 
-/** A waiting request that is less urgent than [refused] and of which a larger share is served. */
-internal fun AdmissionQueue.aheadOf(refused: AdmissionRequest): AdmissionRequest? {
+/** A waiting request that is less urgent than [arrived] and of which a larger share is served. */
+internal fun AdmissionQueue.aheadOf(arrived: AdmissionRequest): AdmissionRequest? {
     val observed = urgency ?: return null
-    val served = observed.servedShare(refused.priority)
+    val served = observed.servedShare(arrived.priority)
     return waiting
-        .filter { it.priority > refused.priority && observed.servedShare(it.priority) > served }
+        .filter { it.priority > arrived.priority && observed.servedShare(it.priority) > served }
         .maxWithOrNull(precedence)
 }
 
@@ -74,4 +89,4 @@
 private const val MAX_RESERVED_SHARE = 0.25
 
 /** With fewer, the shares of the priorities stay unequal; more leave capacity unused. */
-private const val MORE_RESERVED = 2
+private const val MORE_RESERVED = 4
