Build the index of reported work once per report

WorkEstimates rebuilt the index of what other entries reported with each answer, since each answer copies the estimates. The index now belongs to WorkReports, which only reports change; order and values are the same.

--- a/core/src/main/kotlin/org/shallotplank/core/work/WorkEstimates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/work/WorkEstimates.kt
@@ -4,7 +4,6 @@
 import kotlin.math.exp
 import kotlin.math.ln
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
@@ -41,20 +40,10 @@
     val outputs: OutputEstimate = OutputEstimate(),
     val processing: OutputEstimate = OutputEstimate(),
     val lengths: PersistentMap<ServiceName, LengthMoments> = persistentMapOf(),
-    val reported: PersistentMap<InstanceId, ReportedWork> = persistentMapOf(),
+    val reported: WorkReports = WorkReports(),
     val dispersed: PersistentSet<ServiceName> = persistentSetOf(),
     val errors: EstimateErrors = EstimateErrors()
 ) {
-    private val reportsByUpstream: Map<UpstreamKey, List<Pair<Instant, UpstreamWork>>> by lazy(
-        LazyThreadSafetyMode.NONE
-    ) {
-        reported.values
-            .flatMap { report ->
-                report.upstreams.map { (key, work) -> key to (report.reportedAt to work) }
-            }
-            .groupBy({ it.first }, { it.second })
-    }
-
     /** Learns the tokens of a complete answer; [expected] is what was expected of it. */
     internal fun withAnswer(
         service: ServiceName,
@@ -83,21 +72,14 @@
     )
 
     /** Replaces what [entry] reported before. */
-    internal fun withReport(entry: InstanceId, report: ReportedWork): WorkEstimates {
-        val isKnown = entry in reported
-        val kept = if (isKnown || reported.size < MAX_ENTRIES) {
-            reported
-        } else {
-            reported.remove(reported.minBy { it.value.reportedAt }.key)
-        }
-        return report.lengths.keys
-            .fold(copy(reported = kept.put(entry, report))) { next, service ->
+    internal fun withReport(entry: InstanceId, report: ReportedWork): WorkEstimates =
+        report.lengths.keys
+            .fold(copy(reported = reported.with(entry, report))) { next, service ->
                 next.withDispersion(service)
             }
-    }
 
     /** Lengths of the answers of [service] over all entries that reported them. */
-    public fun lengthsOf(service: ServiceName): LengthMoments = reported.values
+    public fun lengthsOf(service: ServiceName): LengthMoments = reported.byEntry.values
         .mapNotNull { it.lengths[service] }
         .fold(lengths[service] ?: LengthMoments(), LengthMoments::plus)
 
@@ -113,19 +95,9 @@
 
     /** What other entries reported recently about [upstream]. */
     internal fun reportedAt(upstream: UpstreamKey, now: Instant): List<UpstreamWork> =
-        reportsByUpstream[upstream].orEmpty()
-            .filter { (reportedAt, _) -> now - reportedAt < MAX_REPORT_AGE }
-            .map { (_, work) -> work }
+        reported.at(upstream, now)
 
     internal companion object {
-        /** Bounds the memory; entries that left the deployment are dropped first. */
-        private const val MAX_ENTRIES = 256
-
-        /**
-         * Requests of a model service last about as long, so an older report says nothing about
-         * the requests that run now.
-         */
-        val MAX_REPORT_AGE: Duration = 2.seconds
         const val MICROS_PER_MILLI = 1_000.0
     }
 }
