Measure streams over the acceptable pause in the decisions bench

The bench showed only the mean of the longest pauses, from which the streams that a jump of demand makes late cannot be read. It now prints the share of the served streams whose longest pause exceeds the acceptable one, and 1.2 times that.

--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/ServiceMeasurements.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/ServiceMeasurements.kt
@@ -72,12 +72,20 @@
         val served = results.filter { it.firstEvent != null && it.endedAfter != null }
         put("first event, ms", meanMillis(served.mapNotNull { it.firstEvent }))
         put("longest pause, ms", meanMillis(served.map { it.longestPause }))
+        val paused = served.filter { it.kind.longestPause != null }
+        put("streams over the pause", overPause(paused, 1.0))
+        put("streams over 1.2 of the pause", overPause(paused, 1.2))
         put("unserved share", results.count { it.endedAfter == null }.toDouble() / results.size)
         put("refusals a request", results.sumOf { it.refusals }.toDouble() / results.size)
         put("rejected attempts a request", rejectedAttempts.toDouble() / results.size)
         put("connections a request", connectionsOpened.toDouble() / results.size)
     }
 
+    /** Share of [streams] whose longest pause exceeds [multiple] of the acceptable one. */
+    private fun overPause(streams: List<RequestResult>, multiple: Double): Double =
+        streams.count { it.longestPause > it.kind.longestPause!! * multiple }.toDouble() /
+            streams.size.coerceAtLeast(1)
+
     private fun meanMillis(times: List<Duration>): Double =
         if (times.isEmpty()) 0.0 else times.sumOf { it.inWholeMicroseconds } / 1e3 / times.size
 
