Add limits by predicted pauses as ways to compare

The limit of running requests divides the largest pause by the requests that run and lets it decay, so that the limit has risen again when the demand for experts changes next. PauseLimit holds the observations of a window in full, and can separate the published time of prompts and of the fullest upstream. The product uses maxRunningWithinPause as before.

The whole core module was not run on this commit.

--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionWays.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionWays.kt
@@ -2,8 +2,10 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import org.shallotplank.core.gateway.GatewayCall
 import org.shallotplank.core.gateway.GatewayPolicies
+import org.shallotplank.core.gateway.PauseLimit
 import org.shallotplank.core.gateway.RequestKind
 import org.shallotplank.core.gateway.UpstreamLoad
 import org.shallotplank.core.gateway.loadAt
@@ -16,6 +18,12 @@
     STANDING_WAY to DecisionWay(),
     "admit-by-slots" to
         DecisionWay(GatewayPolicies(maxRunning = { _, _, slots -> slots })),
+    "pause-hold-8" to
+        byPauses(PauseLimit(8.seconds, separatesConstant = false)),
+    "pause-split-4" to byPauses(PauseLimit(4.seconds, separatesConstant = true)),
+    "pause-split-8" to byPauses(PauseLimit(8.seconds, separatesConstant = true)),
+    "pause-paced-4" to
+        byPauses(PauseLimit(4.seconds, separatesConstant = true, pacedShare = 0.5)),
     "wait-by-deadline" to
         DecisionWay(GatewayPolicies(maxWait = { waitWithin(it, deadlineShare = 0.25) })),
     "wait-half-goal" to DecisionWay(GatewayPolicies(maxWait = { it.route.goal * 0.5 })),
@@ -37,6 +45,10 @@
     "overlap-spread-4" to byWork { load, prompts -> load.overlapping + prompts * 4 }
 )
 
+/** Limits running requests by pauses that [limit] predicts. */
+private fun byPauses(limit: PauseLimit) =
+    DecisionWay(GatewayPolicies(maxRunning = limit::maxRunning))
+
 /** Chooses upstreams by [requests], the usual requests that a load and its unread prompts equal. */
 private fun byWork(requests: (load: UpstreamLoad, prompts: Double) -> Double) = DecisionWay(
     policies = GatewayPolicies(
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/EventPauseEstimate.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/EventPauseEstimate.kt
@@ -24,6 +24,7 @@
  * @property lastPause last observed pause, null before the first observation.
  * @property lastPauseAt when [lastPause] was observed.
  * @property stalledSince when the present series of stalls was first observed, null without one.
+ * @property iterations the last pauses that were no stalls, the latest last, for [PauseLimit].
  */
 public data class EventPauseEstimate(
     val pausePerRequest: Duration? = null,
@@ -31,7 +32,8 @@
     val recentlyRunning: PersistentList<Int> = persistentListOf(),
     val lastPause: Duration? = null,
     val lastPauseAt: Instant = Instant.DISTANT_PAST,
-    val stalledSince: Instant? = null
+    val stalledSince: Instant? = null,
+    val iterations: PersistentList<ObservedIteration> = persistentListOf()
 ) {
     /**
      * Highest number of requests that may have run in the iterations that are observed now.
@@ -47,6 +49,15 @@
         lastPauseAt = now
     )
 
+    /** Records an iteration that is not a stall. */
+    internal fun withIteration(pause: Duration, running: Int, now: Instant): EventPauseEstimate =
+        copy(
+            iterations = (
+                iterations.filter { now - it.at <= ITERATIONS_KEPT } +
+                    ObservedIteration(now, running, pause)
+                ).takeLast(MAX_ITERATIONS).toPersistentList()
+        )
+
     /**
      * Records that the last pause is a stall.
      *
@@ -58,7 +69,8 @@
         val isPersistent = now - since >= STALL_TIME
         return copy(
             stalledSince = since,
-            pausePerRequest = pausePerRequest.takeIf { !isPersistent }
+            pausePerRequest = pausePerRequest.takeIf { !isPersistent },
+            iterations = if (isPersistent) persistentListOf() else iterations
         )
     }
 
@@ -88,6 +100,12 @@
          * iteration of twice that is a stall.
          */
         const val RECENT_OBSERVATIONS = 3
+
+        /** Longer than the windows of the limits that use them. */
+        val ITERATIONS_KEPT = 10.seconds
+
+        /** Observations within [ITERATIONS_KEPT], which arrive every 200 ms. */
+        const val MAX_ITERATIONS = 50
     }
 }
 
@@ -115,7 +133,11 @@
             isStall(service, pause) -> estimate.withStall(context.now)
             else -> estimate.copy(stalledSince = null)
         }
-        known.put(service, next)
+        val isStall = isStall(service, pause)
+        known.put(
+            service,
+            if (isStall) next else next.withIteration(pause, running, context.now)
+        )
     }
     return copy(pauseEstimates = next).resizeQueues(context)
 }
@@ -166,16 +188,16 @@
  * With fewer requests than this share of the slots, a pause says little about what each of them
  * adds to it.
  */
-private const val MIN_OBSERVED_SHARE = 0.25
+internal const val MIN_OBSERVED_SHARE = 0.25
 
 /** A pause longer than this multiple of the acceptable one is a stall and not due to load. */
 private const val STALL_PAUSES = 2
 
 /** Share of the longest acceptable pause that the slowest iterations may take. */
-private const val PAUSE_SHARE = 0.95
+internal const val PAUSE_SHARE = 0.95
 
 /** Share of the slots that stays usable however long the pauses are. */
-private const val MIN_SLOT_SHARE = 0.4
+internal const val MIN_SLOT_SHARE = 0.4
 
 /** Age from which a pause no longer describes the service. */
 private val RECENT_PAUSE_WINDOW = 2.seconds
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayWork.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayWork.kt
@@ -233,7 +233,7 @@
 private fun Duration.atLeastRest(cost: RequestCost): Duration =
     coerceAtLeast(cost.generateTime * REST_SHARE)
 
-private fun GatewayState.unreadTimeAt(upstream: UpstreamKey): Duration =
+internal fun GatewayState.unreadTimeAt(upstream: UpstreamKey): Duration =
     sentCalls[upstream].orEmpty().fold(Duration.ZERO) { sum, call -> sum + unreadTimeOf(call) }
 
 private fun GatewayState.unreadTimeOf(call: GatewayCall): Duration {
