--- a/gateway/src/test/kotlin/org/shallotplank/gateway/caller/DiscardedRequestTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/caller/DiscardedRequestTest.kt
@@ -11,6 +11,8 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import org.shallotplank.core.gateway.CallerLimits
+import org.shallotplank.gateway.budget.MAX_BODY_TIME
+import org.shallotplank.gateway.budget.MIN_BYTES_PER_SECOND
 
 /** Guards against refusals that are lost in a reset, and against refused callers that stay. */
 class DiscardedRequestTest {
@@ -56,4 +58,10 @@
         receive(100_001)
         assertTrue(isOver(1.1.seconds))
     }
+
+    // Guards against a time limit that bodies within the published limits exceed.
+    @Test
+    fun `the time of a body suffices for the largest one at the lowest rate`() {
+        assertTrue(MAX_BODY_TIME.inWholeSeconds * MIN_BYTES_PER_SECOND > 4_194_304)
+    }
 }
