Split the choice of an upstream from its draw

Which upstreams a request may go to, and at what cost, was filtered, weighed and drawn in one expression, so that nothing could show why an upstream was or was not chosen. upstreamChoice now returns the candidates with their cost by term and the others with the first reason that excludes them, without a draw; dispatch draws among the candidates. Admission on arrival is split in the same way, into the reason for a refusal, the request to the queue and its offer.

--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionWays.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/DecisionWays.kt
@@ -5,6 +5,7 @@
 import org.shallotplank.core.gateway.GatewayCall
 import org.shallotplank.core.gateway.GatewayPolicies
 import org.shallotplank.core.gateway.RequestKind
+import org.shallotplank.core.gateway.UpstreamCostTerms
 import org.shallotplank.core.gateway.UpstreamLoad
 import org.shallotplank.core.gateway.loadAt
 import org.shallotplank.core.gateway.promptsAsRequests
@@ -24,7 +25,9 @@
     "fewest-outstanding" to DecisionWay(
         GatewayPolicies(
             upstreamCost = { _, upstream, _, _ ->
-                upstream.totalOutstanding.toDouble() / upstream.record.slots.coerceAtLeast(1)
+                UpstreamCostTerms(
+                    upstream.totalOutstanding.toDouble() / upstream.record.slots.coerceAtLeast(1)
+                )
             }
         )
     ),
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayArrivals.kt
@@ -22,10 +22,24 @@
         return refuseUnknown(request, STATUS_UNAUTHORIZED, GatewayRefusal.UNAUTHORIZED)
     }
     val service = drawService(route, context)
-    val priority = table.priorityOf(route, holder, service)
+    val call = callOf(request, route, service, holder, table.priorityOf(route, holder, service))
+    val counted = copy(
+        retries = retries.put(service, retriesOf(service).afterRequest(context.now))
+    )
+    return counted.put(call).admit(call, context)
+}
+
+/** The call of [request] by the customer of [holder], before its admission. */
+internal fun callOf(
+    request: GatewayRequest,
+    route: Route,
+    service: ServiceName,
+    holder: CredentialHolder?,
+    priority: RequestPriority
+): GatewayCall {
     val callerTimeLeft = request.timeLeft
     val isCallersDeadline = callerTimeLeft != null && callerTimeLeft < route.timeout
-    val call = GatewayCall(
+    return GatewayCall(
         request = request,
         route = route,
         service = service,
@@ -35,10 +49,6 @@
         deadline = request.arrivedAt + (if (isCallersDeadline) callerTimeLeft else route.timeout),
         isCallersDeadline = isCallersDeadline
     )
-    val counted = copy(
-        retries = retries.put(service, retriesOf(service).afterRequest(context.now))
-    )
-    return counted.put(call).admit(call, context)
 }
 
 /**
@@ -56,18 +66,25 @@
     return !table.admits(route, credential?.let { table.customersByCredential[it] })
 }
 
-private fun RouteTable.admits(route: Route, holder: CredentialHolder?): Boolean =
+internal fun RouteTable.admits(route: Route, holder: CredentialHolder?): Boolean =
     !requiresCredentials || route.isOpen || holder != null
 
-/**
- * Draws a target of [route] by weight, from those with a usable upstream or, if there are none,
- * from all.
- */
+/** Targets that receive requests: those with a weight, or all if none has one. */
+private val Route.weightedTargets: List<RouteTarget>
+    get() = targets.filter { it.weight > 0 }.ifEmpty { targets }
+
+/** Targets of [route] among which one is drawn: those with a usable upstream, or else all. */
+internal fun GatewayState.targetsToDraw(route: Route, context: GatewayContext): List<RouteTarget> {
+    val weighted = route.weightedTargets
+    if (weighted.size == 1) return weighted
+    return weighted.filter { target -> hasUsableUpstream(target.service, context) }
+        .ifEmpty { weighted }
+}
+
+/** Draws a target of [route] by weight. */
 private fun GatewayState.drawService(route: Route, context: GatewayContext): ServiceName {
-    val weighted = route.targets.filter { it.weight > 0 }.ifEmpty { route.targets }
-    if (weighted.size == 1) return weighted.single().service
-    val usable = weighted.filter { target -> hasUsableUpstream(target.service, context) }
-    val targets = usable.ifEmpty { weighted }
+    val targets = targetsToDraw(route, context)
+    if (route.weightedTargets.size == 1) return targets.single().service
     var drawn = context.random.nextInt(targets.sumOf { it.weight }.coerceAtLeast(1))
     for (target in targets) {
         drawn -= target.weight
@@ -82,27 +99,41 @@
 ): Boolean = upstreamsOf(service).any { isInService(it) && it.isUsable(context.now) }
 
 private fun GatewayState.admit(call: GatewayCall, context: GatewayContext): GatewayStep {
-    if (isQuarantined(call, context.now)) {
-        return refuse(call, GatewayRefusal.QUARANTINED, QUARANTINE_RETRY_AFTER)
-    }
-    if (mayOutlastService(call, context)) {
-        return refuse(call, GatewayRefusal.STOPPING, retryAfter = Duration.ZERO)
+    when (val reason = refusalOnArrival(call, context)) {
+        null -> Unit
+        GatewayRefusal.QUARANTINED -> return refuse(call, reason, QUARANTINE_RETRY_AFTER)
+        GatewayRefusal.STOPPING -> return refuse(call, reason, retryAfter = Duration.ZERO)
+        else -> {
+            val counted = withOutageRefusal(call, context)
+            return counted.refuse(call, reason, counted.retryAfterFor(call, context))
+        }
     }
-    val startBy = startBy(call, context)
-    reasonNotToWait(call, startBy, context)?.let { reason ->
-        val counted = withOutageRefusal(call, context)
-        return counted.refuse(call, reason, counted.retryAfterFor(call, context))
-    }
-    val request = AdmissionRequest(
-        id = call.request.id,
-        customer = call.customer ?: ANONYMOUS,
-        startBy = startBy,
-        priority = call.admissionPriority
-    )
+    val request = admissionRequest(call, context)
     val queue = queueOf(call.service, context)
     return applyAdmission(call.service, queue.offer(request, context.now, context.random), context)
 }
 
+/** Why [call] is refused without being offered to the admission queue; null if it is not. */
+internal fun GatewayState.refusalOnArrival(
+    call: GatewayCall,
+    context: GatewayContext
+): GatewayRefusal? = when {
+    isQuarantined(call, context.now) -> GatewayRefusal.QUARANTINED
+    mayOutlastService(call, context) -> GatewayRefusal.STOPPING
+    else -> reasonNotToWait(call, startBy(call, context), context)
+}
+
+/** What the admission queue of its service is offered for [call]. */
+internal fun GatewayState.admissionRequest(
+    call: GatewayCall,
+    context: GatewayContext
+): AdmissionRequest = AdmissionRequest(
+    id = call.request.id,
+    customer = call.customer ?: ANONYMOUS,
+    startBy = startBy(call, context),
+    priority = call.admissionPriority
+)
+
 /** Why no upstream can take [call] by [startBy], null if one may. */
 private fun GatewayState.reasonNotToWait(
     call: GatewayCall,
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayDispatching.kt
@@ -116,11 +116,11 @@
     context: GatewayContext,
     lastReason: GatewayRefusal = GatewayRefusal.NO_UPSTREAM
 ): GatewayStep {
-    val call = admitted.copy(cost = expectedCost(admitted))
+    val call = withExpectedCost(admitted)
     if (isQuarantined(call, context.now)) {
         return endWithoutAnswer(call, GatewayRefusal.QUARANTINED, context)
     }
-    val chosen = chooseUpstream(call, context)
+    val chosen = upstreamChoice(call, context).draw(context.random)
         ?: return endWithoutAnswer(call, lastReason, context)
     val service = service(call.service)
     val attempt = call.attemptsSent + call.connectFailures + 1
@@ -165,65 +165,6 @@
     )
 }
 
-private fun GatewayState.chooseUpstream(
-    call: GatewayCall,
-    context: GatewayContext
-): GatewayUpstream? {
-    val notSlow = eligibleUpstreams(call, context).withoutSlow()
-    val eligible =
-        if (call.isMoved) {
-            notSlow.filter {
-                it.hasFreeSlot(context)
-            }.ifEmpty { notSlow }
-        } else {
-            notSlow
-        }
-    // Expected memory is an estimate, so it excludes no upstream if it would exclude all of them.
-    return eligible.filter { hasMemoryFor(it, call, context.now) }
-        .ifEmpty { eligible }
-        .minByOrNull {
-            settings.policies.upstreamCost(this, it, call, context.now) +
-                context.random.nextDouble() * TIE_BREAK
-        }
-}
-
-/** Upstreams to which [call] may be sent now. */
-internal fun GatewayState.eligibleUpstreams(
-    call: GatewayCall,
-    context: GatewayContext
-): List<GatewayUpstream> {
-    val rate = service(call.service)?.coldRatePerSecond
-    return upstreamsOf(call.service).filter {
-        isInService(it) &&
-            it.mayReceiveAttempt(context.now) &&
-            it.record.id !in call.excluded &&
-            it.hasRateLeft(rate?.let { all -> rateShareOf(all, it) }, context.now) &&
-            requestsLeft(it, context) != 0
-    }
-}
-
-/** Cost by utilization, zone, ownership and the need for a new connection. */
-internal fun defaultUpstreamCost(
-    state: GatewayState,
-    upstream: GatewayUpstream,
-    call: GatewayCall,
-    now: Instant
-): Double = upstream.utilization() + state.placeCost(upstream, call, now)
-
-/** Cost by zone, ownership and the need for a new connection, and of an upstream without slots. */
-internal fun GatewayState.placeCost(
-    upstream: GatewayUpstream,
-    call: GatewayCall,
-    now: Instant
-): Double {
-    val distance = if (upstream.record.zone == settings.zone) 0.0 else CROSS_ZONE_COST
-    val full = if (now < upstream.fullUntil) FULL_COST else 0.0
-    val notPreferred = if (upstream.ownership?.isPreferred == false) NOT_PREFERRED_COST else 0.0
-    val hasKeptConnection = call.route.isIdempotent && now < upstream.connectionKeptUntil
-    val connecting = if (hasKeptConnection) 0.0 else NEW_CONNECTION_COST
-    return distance + full + notPreferred + connecting
-}
-
 /**
  * Requests that this entry may send to [upstream] in some time, of the [rate] that all entries
  * together may send in it.
@@ -285,20 +226,6 @@
  */
 private val PEER_DISCOVERY_TIME = 1_000.milliseconds
 
-/** Traffic between zones costs money; this weighs less than one busy slot of an upstream. */
-private const val CROSS_ZONE_COST = 0.02
-private const val FULL_COST = 1.0
-
-/** A new connection takes a few milliseconds; this weighs less than one busy slot. */
-private const val NEW_CONNECTION_COST = 0.08
-
-/**
- * Other entries report late what they have in flight at the upstreams that they own. This cost, a
- * third of the slots, exceeds the usual change in load until the next report arrives.
- */
-private const val NOT_PREFERRED_COST = 0.35
-private const val TIE_BREAK = 0.01
-
 /** Connections to an upstream whose service the configuration does not describe. */
 private const val DEFAULT_CONNECTIONS = 16
 
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayPolicies.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayPolicies.kt
@@ -29,4 +29,9 @@
 
 /** Estimated cost of sending [GatewayCall] to [GatewayUpstream] at a point in time. */
 public typealias UpstreamCost =
-    (state: GatewayState, upstream: GatewayUpstream, call: GatewayCall, now: Instant) -> Double
+    (
+        state: GatewayState,
+        upstream: GatewayUpstream,
+        call: GatewayCall,
+        now: Instant
+    ) -> UpstreamCostTerms
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayUpstream.kt
@@ -66,23 +66,23 @@
      *
      * Its zone and its rate limit are not considered.
      */
-    internal fun isUsable(now: Instant): Boolean = when {
-        !isNotLeaving ||
-            !notice.acceptsRequests(
-                now
-            ) ||
-            misdirectedAddress == record.address -> false
-        failures == 0 -> true
-        else -> now >= blockedUntil
+    internal fun isUsable(now: Instant): Boolean = unusableReason(now) == null
+
+    private fun unusableReason(now: Instant): UpstreamExclusion? = when {
+        !isNotLeaving -> UpstreamExclusion.LEAVING
+        !notice.acceptsRequests(now) -> UpstreamExclusion.PAUSED
+        misdirectedAddress == record.address -> UpstreamExclusion.MISDIRECTED
+        failures > 0 && now < blockedUntil -> UpstreamExclusion.BACKOFF
+        else -> null
     }
 
     /**
-     * Whether an attempt may be sent there at [now].
+     * What in its own state keeps attempts from being sent there at [now], null if nothing does.
      *
      * After a failure, one attempt at a time probes it, as with a half-open circuit breaker.
      */
-    internal fun mayReceiveAttempt(now: Instant): Boolean =
-        isUsable(now) && (failures == 0 || outstanding == 0)
+    internal fun exclusionAt(now: Instant): UpstreamExclusion? = unusableReason(now)
+        ?: UpstreamExclusion.PROBED.takeIf { failures > 0 && outstanding > 0 }
 
     /** Whether one more attempt at [now] stays within [ratePerSecond]; null means no limit. */
     internal fun hasRateLeft(ratePerSecond: Int?, now: Instant): Boolean =
@@ -126,10 +126,6 @@
         )
     }
 
-    /** Load including one more attempt, as a share of its slots, scaled by its [slowdown]. */
-    internal fun utilization(): Double =
-        (totalOutstanding + 1) * slowdown / record.slots.coerceAtLeast(1)
-
     internal companion object {
         /** Rate limits of cold upstreams are configured as requests per second. */
         val RATE_WINDOW: Duration = 1.seconds
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayWork.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayWork.kt
@@ -49,6 +49,10 @@
 public val GatewayState.needsProgress: Boolean
     get() = routesInForce.services.keys.any(::usesWork)
 
+/** [call] with the work that is expected of it now. */
+internal fun GatewayState.withExpectedCost(call: GatewayCall): GatewayCall =
+    call.copy(cost = expectedCost(call))
+
 /** Expected work of [call], or null if too little is known of it. */
 internal fun GatewayState.expectedCost(call: GatewayCall): RequestCost? {
     val engine = service(call.service)?.engine
@@ -159,6 +163,10 @@
     )
 }
 
+/** When the oldest report was made that [loadAt] counts for [upstream]; null without one. */
+public fun GatewayState.workReportedAt(upstream: UpstreamKey, now: Instant): Instant? =
+    work.oldestReportAt(upstream, now)
+
 private val UpstreamWork.meanLeft: Duration get() = timeLeft / requests.coerceAtLeast(1)
 
 private fun overlap(left: Duration, length: Duration): Double =
@@ -176,7 +184,7 @@
     upstream: GatewayUpstream,
     call: GatewayCall,
     now: Instant
-): Double {
+): UpstreamCostTerms {
     if (call.cost == null || !state.usesWork(call.service)) {
         return defaultUpstreamCost(state, upstream, call, now)
     }
@@ -184,16 +192,6 @@
     return workUpstreamCost(state, upstream, call, now, upstream.totalOutstanding + prompts)
 }
 
-/** Cost of an upstream whose load is that of [requests] usual requests. */
-public fun workUpstreamCost(
-    state: GatewayState,
-    upstream: GatewayUpstream,
-    call: GatewayCall,
-    now: Instant,
-    requests: Double
-): Double = (requests + 1) * upstream.slowdown / upstream.record.slots.coerceAtLeast(1) +
-    state.placeCost(upstream, call, now)
-
 /** Number of generating requests that lengthen an iteration as much as reading for [time]. */
 public fun GatewayState.promptsAsRequests(service: ServiceName, time: Duration): Double {
     val engine = service(service)?.engine ?: return 0.0
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/SlowRanks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/SlowRanks.kt
@@ -115,10 +115,6 @@
     get() = slow?.let { maxOf(it.slots, totalOutstanding).coerceAtMost(record.slots) }
         ?: record.slots
 
-/** Removes the upstreams that are at their slow limit, unless no other is left. */
-internal fun List<GatewayUpstream>.withoutSlow(): List<GatewayUpstream> =
-    filterNot { it.isAtSlowLimit }.ifEmpty { this }
-
 /** Keepers report slowdowns from 1.25 on; entries of other builds may report lower ones. */
 private const val MIN_SLOWDOWN = 1.25
 
--- a/core/src/main/kotlin/org/shallotplank/core/work/WorkEstimates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/work/WorkEstimates.kt
@@ -113,9 +113,15 @@
 
     /** What other entries reported recently about [upstream]. */
     internal fun reportedAt(upstream: UpstreamKey, now: Instant): List<UpstreamWork> =
+        recentReports(upstream, now).map { (_, work) -> work }
+
+    /** When the oldest of the reports in [reportedAt] was made, null without any. */
+    internal fun oldestReportAt(upstream: UpstreamKey, now: Instant): Instant? =
+        recentReports(upstream, now).minOfOrNull { (reportedAt, _) -> reportedAt }
+
+    private fun recentReports(upstream: UpstreamKey, now: Instant) =
         reportsByUpstream[upstream].orEmpty()
             .filter { (reportedAt, _) -> now - reportedAt < MAX_REPORT_AGE }
-            .map { (_, work) -> work }
 
     internal companion object {
         /** Bounds the memory; entries that left the deployment are dropped first. */
