Add the command 'shallotplank where'

An operator could see where a request had gone, and not why, nor where the next one would go. The command asks a running gateway entry, without sending the request: route and services, admission (capacity, running, waiting, reserved), each candidate with its cost by term, the reason that excludes each other upstream, the candidates that are drawn among, and the age of each observation.

The entry answers GET /where at its metrics address from the functions that decide on requests (upstreamChoice, refusalOnArrival and the offer to a copy of the immutable queue). It changes no state, draws nothing from the entry's random numbers and sends nothing to an upstream.

--- a/cli/src/main/kotlin/org/shallotplank/cli/Main.kt
+++ b/cli/src/main/kotlin/org/shallotplank/cli/Main.kt
@@ -38,7 +38,8 @@
     CheckCommand(),
     PublishCommand(),
     StatusCommand(),
-    ExplainCommand()
+    ExplainCommand(),
+    WhereCommand()
 )
 
 private class ShallotplankCommand : CliktCommand(name = "shallotplank") {
--- a/cli/src/test/kotlin/org/shallotplank/cli/CommandPageTest.kt
+++ b/cli/src/test/kotlin/org/shallotplank/cli/CommandPageTest.kt
@@ -22,7 +22,7 @@
 | --- | --- |
 """.trim()
 
-private val commands = listOf("", "entry", "agent", "check", "publish", "status")
+private val commands = listOf("", "entry", "agent", "check", "publish", "status", "where")
 
 class CommandPageTest {
     @Nested
@@ -41,7 +41,8 @@
     inner class ExitStatuses {
         @Test
         fun `of wrong usage are those of the page`() {
-            val wrongUsages = listOf("bogus", "check", "entry", "status", "publish /nowhere")
+            val wrongUsages =
+                listOf("bogus", "check", "entry", "status", "where", "publish /nowhere")
             val codes = wrongUsages.map { runCommand(it.split(' ')) }
             assertEquals(wrongUsages.map { ExitStatus.USAGE.code }, codes)
         }
@@ -55,7 +56,9 @@
         @Test
         fun `of a process that does not answer are those of the page`() {
             val status = runCommand(listOf("status", "--admin", "127.0.0.1:1"))
-            assertEquals(ExitStatus.UNAVAILABLE.code, status)
+            val question = listOf("--entry", "127.0.0.1:1", "--host", "h", "--path", "/p")
+            val where = runCommand(listOf("where") + question)
+            assertEquals(List(2) { ExitStatus.UNAVAILABLE.code }, listOf(status, where))
         }
 
         @Test
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -42,6 +42,8 @@
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.StoreRow
 import org.shallotplank.gateway.store.TableReplica
+import org.shallotplank.gateway.where.EntryContact
+import org.shallotplank.gateway.where.Observations
 
 /**
  * The observed state of a gateway entry: copies of the store's tables and reports of other entries.
@@ -160,6 +162,14 @@
         get() = peers.alive.minOfOrNull { it.lastContactAt }?.let { clock.now() - it }
             ?: Duration.ZERO
 
+    /** When this entry last observed the store's tables and the entries that count as alive. */
+    fun observations(): Observations = Observations(
+        tables = tables.contacts,
+        entries = peers.alive.mapNotNull { view ->
+            view.report?.let { EntryContact(InstanceId(it.instance), view.lastContactAt) }
+        }
+    )
+
     /** Locations of all registered entries, running or not. */
     private var entryLocations: List<EntryLocation> = emptyList()
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
@@ -1,6 +1,7 @@
 package org.shallotplank.gateway
 
 import io.netty.channel.EventLoopGroup
+import kotlin.time.Clock
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -15,6 +16,8 @@
 import org.shallotplank.gateway.peer.EXCHANGE_PATH
 import org.shallotplank.gateway.peer.HOLD_PATH
 import org.shallotplank.gateway.peer.Peers
+import org.shallotplank.gateway.where.WHERE_PATH
+import org.shallotplank.gateway.where.WhereInterface
 
 /** The interfaces of an entry except that for callers: readiness, directory, peers, metrics. */
 internal class GatewayInterfaces(
@@ -23,15 +26,22 @@
     private val group: EventLoopGroup,
     private val metrics: GatewayMetrics,
     private val clusterView: ClusterView,
-    private val exchanges: GatewayExchanges
+    private val exchanges: GatewayExchanges,
+    clock: Clock
 ) {
+    private val where = WhereInterface(
+        state = exchanges::state,
+        observations = clusterView::observations,
+        now = clock::now
+    )
+
     /** Starts listening; throws [java.io.IOException] if an address cannot be bound. */
     fun start() {
         val small = limits(SMALL_SHARE, SMALL_REQUEST_BYTES)
         val metricsAddress = settings.listenAddress.copy(port = settings.metricsPort)
         HttpEndpoint(group, settings.readinessAddress, small, ::readiness).start()
         HttpEndpoint(group, settings.directoryAddress, small, ::entries).start()
-        HttpEndpoint(group, metricsAddress, small) { scrape() }.start()
+        HttpEndpoint(group, metricsAddress, small, ::operator).start()
         val large = limits(PEER_SHARE, PEER_REQUEST_BYTES)
         val peers = HttpEndpoint(group, settings.peerAddress, large) { request, reply ->
             peer(request, reply)
@@ -90,6 +100,9 @@
         else -> HttpReply(NOT_FOUND)
     }
 
+    private fun operator(request: EndpointRequest): HttpReply =
+        if (request.path == WHERE_PATH) where.answer(request) else scrape()
+
     private fun scrape(): HttpReply = HttpReply(OK, metrics.scrape().toByteArray(), HttpCall.TEXT)
 
     private companion object {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayProcess.kt
@@ -83,7 +83,7 @@
         countPeerCall = metrics::countPeerCall
     )
     private val interfaces =
-        GatewayInterfaces(settings, directory, group, metrics, clusterView, exchanges)
+        GatewayInterfaces(settings, directory, group, metrics, clusterView, exchanges, clock)
     private var lastTickAt: Instant = clock.now()
 
     /** Starts to listen and to follow the store. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/StoreTables.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/StoreTables.kt
@@ -25,6 +25,7 @@
 import org.shallotplank.gateway.store.TableContents
 import org.shallotplank.gateway.store.TableFollower
 import org.shallotplank.gateway.store.TableReplica
+import org.shallotplank.gateway.where.TableContact
 
 /**
  * Copies of the store's tables.
@@ -66,6 +67,12 @@
     /** Whether each table has been read at least once. */
     val isComplete: Boolean get() = followers.values.all { it.replica.isRead }
 
+    /** The copies and when the store last confirmed them. */
+    val contacts: List<TableContact>
+        get() = followers.map { (table, it) ->
+            TableContact(table, it.replica.revision, it.answeredAt)
+        }
+
     /** Versions of the copies as reports carry them. */
     val versions: Map<String, Long>
         get() = reportedVersions(followers.mapValues { (_, it) -> it.replica.revision })
