--- a/core/src/main/kotlin/org/shallotplank/core/work/WorkEstimates.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/work/WorkEstimates.kt
@@ -97,6 +97,10 @@
     internal fun reportedAt(upstream: UpstreamKey, now: Instant): List<UpstreamWork> =
         reported.at(upstream, now)
 
+    /** When the oldest of the reports in [reportedAt] was made, null without any. */
+    internal fun oldestReportAt(upstream: UpstreamKey, now: Instant): Instant? =
+        reported.oldestAt(upstream, now)
+
     internal companion object {
         const val MICROS_PER_MILLI = 1_000.0
     }
--- a/core/src/main/kotlin/org/shallotplank/core/work/WorkReports.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/work/WorkReports.kt
@@ -39,9 +39,14 @@
 
     /** What entries reported recently about [upstream]. */
     internal fun at(upstream: UpstreamKey, now: Instant): List<UpstreamWork> =
-        byUpstream[upstream].orEmpty()
-            .filter { (reportedAt, _) -> now - reportedAt < MAX_REPORT_AGE }
-            .map { (_, work) -> work }
+        recent(upstream, now).map { (_, work) -> work }
+
+    /** When the oldest of the reports in [at] was made, null without any. */
+    internal fun oldestAt(upstream: UpstreamKey, now: Instant): Instant? =
+        recent(upstream, now).minOfOrNull { (reportedAt, _) -> reportedAt }
+
+    private fun recent(upstream: UpstreamKey, now: Instant) = byUpstream[upstream].orEmpty()
+        .filter { (reportedAt, _) -> now - reportedAt < MAX_REPORT_AGE }
 
     private companion object {
         /** Bounds the memory; entries that left the deployment are dropped first. */
