--- a/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionQueue.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionQueue.kt
@@ -151,8 +151,7 @@
     internal fun expectedWait(request: AdmissionRequest): Duration {
         val usual = serviceTime ?: return Duration.ZERO
         val ahead = waiting.count { it.id != request.id && precedence.compare(it, request) <= 0 }
-        val admissions = minOf(ahead + 1, admissionsIfStarving(request))
-        return usual * admissions / capacity.coerceAtLeast(1)
+        return usual * (ahead + 1) / capacity.coerceAtLeast(1)
     }
 
     internal fun isTooLate(request: AdmissionRequest, now: Instant): Boolean =
--- a/core/src/main/kotlin/org/shallotplank/core/admission/Urgency.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/Urgency.kt
@@ -67,34 +67,19 @@
         it < priority && servedShare(it) < servedShare(priority)
     }
 
-    /**
-     * Whether less than [GUARANTEED_SHARE] of the usual share of [priority] was admitted.
-     *
-     * Not while that share is less than one admission, which says nothing.
-     */
-    fun isStarving(priority: Priority): Boolean {
-        val usual = share(admissions.values.sum(), arrivals.values.sum())
-        val due = (arrivals[priority] ?: 0.0) * usual * GUARANTEED_SHARE
-        return due >= 1.0 && (admissions[priority] ?: 0.0) < due
-    }
-
     /**
      * Which of [priorities] is admitted before more urgent ones, so that none starves.
      *
-     * At most one of [ADMISSIONS_PER_OTHER] admissions goes to a priority that starves.
+     * At most one of [ADMISSIONS_PER_OTHER] admissions goes to a priority of which less than
+     * [GUARANTEED_SHARE] of the usual share was admitted.
      */
     fun starving(priorities: Set<Priority>): Priority? {
         if (admissionsInOrder < ADMISSIONS_PER_OTHER - 1) return null
-        return priorities.filter(::isStarving).minByOrNull { servedShare(it) }
+        val usual = share(admissions.values.sum(), arrivals.values.sum())
+        return priorities.filter { servedShare(it) < usual * GUARANTEED_SHARE }
+            .minByOrNull { servedShare(it) }
     }
 
-    /**
-     * Admissions until a request of a priority that starves is admitted, including its own, with
-     * [ahead] requests of its priority before it.
-     */
-    fun admissionsUntilStarving(ahead: Int): Int =
-        (ADMISSIONS_PER_OTHER - admissionsInOrder).coerceAtLeast(1) + ahead * ADMISSIONS_PER_OTHER
-
     private fun decayed(now: Instant): Urgency {
         val kept = exp(-((now - at).coerceAtLeast(Duration.ZERO) / DECAY_TIME))
         return copy(arrivals = arrivals * kept, admissions = admissions * kept, at = now)
--- a/core/src/main/kotlin/org/shallotplank/core/admission/UrgentAdmission.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/UrgentAdmission.kt
@@ -47,21 +47,6 @@
     return elsewhere.moreUrgentThan(priority).roundToInt().coerceAtMost(above)
 }
 
-/**
- * Admissions until [request] starts if its priority starves, else no bound.
- *
- * Without it, a request behind many more urgent ones would be refused before it can be chosen.
- */
-internal fun AdmissionQueue.admissionsIfStarving(request: AdmissionRequest): Int {
-    val observed = urgency?.takeIf { it.isStarving(request.priority) } ?: return Int.MAX_VALUE
-    val ahead = waiting.count {
-        it.id != request.id &&
-            it.priority == request.priority &&
-            precedence.compare(it, request) <= 0
-    }
-    return observed.admissionsUntilStarving(ahead)
-}
-
 /** Expected time until one of the running requests ends. */
 private val AdmissionQueue.timeUntilFree: Duration
     get() = (serviceTime ?: Duration.ZERO) / running.size.coerceAtLeast(1)
