Revert "Let requests yield only to requests that are admitted or queued"

Both were not measured. The fault that it mends (a request may yield to one that is refused) stays listed as open.

--- a/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionQueue.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/AdmissionQueue.kt
@@ -82,14 +82,18 @@
             waiting = queue.waiting.add(request),
             urgency = queue.urgency?.afterArrival(request.priority, now)
         )
-        val placed = Step(arrived, swept.effects).dispatch(now)
-        if (queue.urgency != null) return placed.placeByUrgency(request, now, random)
-        val trimmed = placed.trim(now, random)
-        return when {
-            !trimmed.state.isWaiting(request.id) -> trimmed
-            trimmed.state.isTooLate(request, now) -> trimmed.refuseWaiting(request, now, random)
-            else -> trimmed.queued(request)
+        val placed = Step(arrived, swept.effects)
+            .dispatch(now)
+            .trim(now, random)
+            .yieldTo(request, now, random)
+        if (!placed.state.isWaiting(request.id)) return placed
+        if (now + placed.state.expectedWait(request) > request.startBy) {
+            val kept = placed.state.waiting.removeAll { it.id == request.id }
+            return Step(placed.state.copy(waiting = kept), placed.effects)
+                .refuse(request, RefusalReason.WOULD_EXPIRE, now, random)
+                .yieldAhead(request, now, random)
         }
+        return Step(placed.state, placed.effects.add(AdmissionDecision.Queue(request.id)))
     }
 
     /** Number of waiting requests, by priority. */
@@ -115,6 +119,7 @@
         val kept = copy(waiting = waiting.removeAll { it.startBy <= now })
         return expired.fold(AdmissionStep(kept)) { step, request ->
             step.refuse(request, RefusalReason.EXPIRED, now, random)
+                .yieldAhead(request, now, random)
         }
     }
 
@@ -154,9 +159,6 @@
         return usual * (ahead + 1) / capacity.coerceAtLeast(1)
     }
 
-    internal fun isTooLate(request: AdmissionRequest, now: Instant): Boolean =
-        now + expectedWait(request) > request.startBy
-
     internal val precedence: Comparator<AdmissionRequest>
         get() = compareBy({ it.priority }, { shares.startTag(it.customer) })
 
@@ -200,39 +202,6 @@
     return Step(state.admitted(request, now), effects.add(decision)).dispatch(now)
 }
 
-private fun AdmissionStep.queued(request: AdmissionRequest): AdmissionStep =
-    Step(state, effects.add(AdmissionDecision.Queue(request.id)))
-
-private fun AdmissionStep.refuseWaiting(
-    request: AdmissionRequest,
-    now: Instant,
-    random: Random,
-    reason: RefusalReason = RefusalReason.WOULD_EXPIRE
-): AdmissionStep {
-    val kept = state.copy(waiting = state.waiting.removeAll { it.id == request.id })
-    return Step(kept, effects).refuse(request, reason, now, random)
-}
-
-/**
- * Queues or refuses [arrived], which no longer waits if it was admitted.
- *
- * Whether it is refused is decided first, so that others yield only to a request that is admitted
- * or queued. An arrival that is expected to be too late is still queued, in place of a less urgent
- * request of which a larger share is served.
- */
-private fun AdmissionStep.placeByUrgency(
-    arrived: AdmissionRequest,
-    now: Instant,
-    random: Random
-): AdmissionStep {
-    if (!state.isWaiting(arrived.id)) return yieldTo(arrived, now, random)
-    val isLate = state.isTooLate(arrived, now)
-    if (isLate && state.aheadOf(arrived) == null) return refuseWaiting(arrived, now, random)
-    val placed = trim(now, random)
-    if (!placed.state.isWaiting(arrived.id)) return placed
-    return placed.yieldTo(arrived, now, random).yieldAhead(arrived, now, random).queued(arrived)
-}
-
 /** Refuses waiting requests that are less urgent than [arrived] and now expected to be too late. */
 private fun AdmissionStep.yieldTo(
     arrived: AdmissionRequest,
@@ -240,17 +209,21 @@
     random: Random
 ): AdmissionStep {
     val late = state.tooLateBehind(arrived, now) ?: return this
-    return refuseWaiting(late, now, random, RefusalReason.YIELDED).yieldTo(arrived, now, random)
+    val kept = state.copy(waiting = state.waiting.removeAll { it.id == late.id })
+    return Step(kept, effects)
+        .refuse(late, RefusalReason.YIELDED, now, random)
+        .yieldTo(arrived, now, random)
 }
 
-/** Refuses a less urgent waiting request of which a larger share is served than of [queued]. */
+/** Refuses a less urgent waiting request in place of which [refused] could have been served. */
 private fun AdmissionStep.yieldAhead(
-    queued: AdmissionRequest,
+    refused: AdmissionRequest,
     now: Instant,
     random: Random
 ): AdmissionStep {
-    val ahead = state.aheadOf(queued) ?: return this
-    return refuseWaiting(ahead, now, random, RefusalReason.YIELDED)
+    val ahead = state.aheadOf(refused) ?: return this
+    val kept = state.copy(waiting = state.waiting.removeAll { it.id == ahead.id })
+    return Step(kept, effects).refuse(ahead, RefusalReason.YIELDED, now, random)
 }
 
 /** Refuses the least entitled requests while more than [AdmissionQueue.maxQueued] wait. */
--- a/core/src/main/kotlin/org/shallotplank/core/admission/UrgentAdmission.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/admission/UrgentAdmission.kt
@@ -61,12 +61,12 @@
         .maxWithOrNull(precedence)
 }
 
-/** A waiting request that is less urgent than [arrived] and of which a larger share is served. */
-internal fun AdmissionQueue.aheadOf(arrived: AdmissionRequest): AdmissionRequest? {
+/** A waiting request that is less urgent than [refused] and of which a larger share is served. */
+internal fun AdmissionQueue.aheadOf(refused: AdmissionRequest): AdmissionRequest? {
     val observed = urgency ?: return null
-    val served = observed.servedShare(arrived.priority)
+    val served = observed.servedShare(refused.priority)
     return waiting
-        .filter { it.priority > arrived.priority && observed.servedShare(it.priority) > served }
+        .filter { it.priority > refused.priority && observed.servedShare(it.priority) > served }
         .maxWithOrNull(precedence)
 }
 
@@ -74,4 +74,4 @@
 private const val MAX_RESERVED_SHARE = 0.25
 
 /** With fewer, the shares of the priorities stay unequal; more leave capacity unused. */
-private const val MORE_RESERVED = 4
+private const val MORE_RESERVED = 2
