Bound the cost of questions of 'where', and explain what is drawn first

Found in review, by reading: questions cost several choices on the event loop that serves callers and had no limit of rate; targets beyond the eighth were explained and then left out, also if they were the drawn ones; a stopping entry called itself ready; a priority that nobody has was explained as the most urgent one; the command had no time limit for the body of an answer; and the merge with the index of reports did not compile.

Priorities of requests are the same as before: of the pairs of a service, each has its index.

--- a/cli/src/main/kotlin/org/shallotplank/cli/WhereClient.kt
+++ b/cli/src/main/kotlin/org/shallotplank/cli/WhereClient.kt
@@ -1,11 +1,13 @@
 package org.shallotplank.cli
 
-import java.io.IOException
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.time.Duration
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 import kotlinx.serialization.SerializationException
 import org.shallotplank.core.Address
 import org.shallotplank.gateway.where.WhereAnswer
@@ -32,7 +34,9 @@
     fun ask(entry: Address, parameters: Map<String, String?>): WhereReply = try {
         val uri = URI("http://$entry${WhereQuery.target(parameters)}")
         val request = HttpRequest.newBuilder(uri).timeout(TIMEOUT).build()
-        val answer = client.send(request, HttpResponse.BodyHandlers.ofString())
+        // The timeout of the request ends with the head of the answer.
+        val answer = client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+            .get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
         when (answer.statusCode()) {
             OK -> WhereReply.Answered(WhereAnswer.decode(answer.body()))
             BAD_REQUEST -> WhereReply.WrongQuestion(
@@ -40,8 +44,10 @@
             )
             else -> WhereReply.Unavailable("answered with status ${answer.statusCode()}")
         }
-    } catch (e: IOException) {
-        WhereReply.Unavailable("no answer: ${e.message ?: e::class.simpleName}")
+    } catch (e: ExecutionException) {
+        WhereReply.Unavailable("no answer: ${e.cause?.message ?: e.cause}")
+    } catch (e: TimeoutException) {
+        WhereReply.Unavailable("no whole answer within ${TIMEOUT.toSeconds()} s")
     } catch (e: SerializationException) {
         // An entry of an older build answers with its metrics.
         WhereReply.Unavailable("not the metrics address of an entry that knows this command")
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayExplaining.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayExplaining.kt
@@ -14,8 +14,14 @@
  * The same functions decide on requests that arrive. The state is not changed, and no number is
  * drawn from the entry's source of randomness. Whether the content of the request crashed
  * upstreams before is not considered, since only its size and the parts of its prompt are known.
+ *
+ * @param maxServices highest number of the route's services that are explained, drawn ones first.
  */
-public fun GatewayState.explain(question: RequestQuestion, now: Instant): RequestExplanation {
+public fun GatewayState.explain(
+    question: RequestQuestion,
+    now: Instant,
+    maxServices: Int = Int.MAX_VALUE
+): RequestExplanation {
     val table = routes
     val route = table?.match(question.host, question.path.substringBefore('?'))
     val holder = question.customer?.let { table?.holderOf(it) }
@@ -31,13 +37,13 @@
         emptyList()
     } else {
         val drawn = targetsToDraw(route, context)
-        route.targets.map { target ->
+        route.targets.sortedBy { it !in drawn }.take(maxServices).map { target ->
             val priority = table.priorityOf(route, holder.with(question.priority), target.service)
             val call = callOf(question.requestAt(now), route, target.service, holder, priority)
             explain(target, target in drawn, withExpectedCost(call), context)
         }
     }
-    return RequestExplanation(isReady, table?.version, route, refusal, services)
+    return RequestExplanation(isReady && !isStopping, table?.version, route, refusal, services)
 }
 
 private fun RouteTable.holderOf(customer: CustomerName): CredentialHolder? =
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/RequestPriorities.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/RequestPriorities.kt
@@ -30,7 +30,7 @@
             val pairs = senders(route).map { pairOf(route, it) }
             route.targets.forEach { getOrPut(it.service) { HashSet<PriorityPair>() } += pairs }
         }
-    }.mapValues { (_, pairs) -> pairs.sortedWith(compareBy({ it.customer }, { it.route })) }
+    }.mapValues { (_, pairs) -> pairs.sortedWith(ORDER) }
 
     /** Services whose requests are admitted in more than one class. */
     val servicesOfSeveralClasses: Set<ServiceName> = ordered.filterValues { it.size > 1 }.keys
@@ -40,7 +40,9 @@
         val pairs = ordered[service].orEmpty()
         // A single priority is passed on as configured.
         if (pairs.size <= 1) return RequestPriority(pairOf(route, holder).customer, ONLY_CLASS)
-        val level = pairs.indexOf(pairOf(route, holder)).coerceAtLeast(0)
+        // Equal to its index; a priority of a question that nobody has goes by its place.
+        val own = pairOf(route, holder)
+        val level = pairs.count { ORDER.compare(it, own) < 0 }.coerceAtMost(pairs.size - 1)
         val classes = Priority.entries
         val index = if (pairs.size <= classes.size) level else level * classes.size / pairs.size
         return RequestPriority(level, classes[index])
@@ -53,5 +55,6 @@
 
     private companion object {
         val ONLY_CLASS = Priority.entries.first()
+        val ORDER = compareBy<PriorityPair>({ it.customer }, { it.route })
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/where/WhereInterface.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/where/WhereInterface.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import org.shallotplank.core.CustomerName
 import org.shallotplank.core.gateway.GatewayState
@@ -24,6 +25,9 @@
     private val observations: () -> Observations,
     private val now: () -> Instant
 ) {
+    private var windowStartedAt = Instant.DISTANT_PAST
+    private var answeredInWindow = 0
+
     fun answer(request: EndpointRequest): HttpReply {
         if (request.method != "GET") return HttpReply(METHOD_NOT_ALLOWED)
         val question = try {
@@ -33,10 +37,20 @@
         }
         val current = state()
         val at = now()
-        val answer = answerOf(current.explain(question, at), current, at)
+        if (!mayAnswer(at)) return HttpReply(TOO_MANY_REQUESTS)
+        val answer = answerOf(current.explain(question, at, MAX_SERVICES), current, at)
         return HttpReply(OK, answer.encode().toByteArray())
     }
 
+    private fun mayAnswer(now: Instant): Boolean {
+        if (now - windowStartedAt >= WINDOW) {
+            windowStartedAt = now
+            answeredInWindow = 0
+        }
+        answeredInWindow++
+        return answeredInWindow <= MAX_PER_WINDOW
+    }
+
     private fun questionOf(request: EndpointRequest): RequestQuestion {
         val path = request.parameter(WhereQuery.PATH).orEmpty()
         require(path.startsWith("/")) { "${WhereQuery.PATH}: expected a path" }
@@ -71,8 +85,10 @@
         now: Instant
     ): WhereAnswer {
         val observed = observations()
-        val services = explanation.services.take(MAX_SERVICES)
+        val services = explanation.services
         val limit = MAX_UPSTREAMS / services.size.coerceAtLeast(1)
+        val targets = explanation.route?.targets.orEmpty()
+        val leftOut = if (services.isEmpty()) 0 else targets.size - services.size
         val entries = observed.entries.sortedBy { it.reportedAt }
         return WhereAnswer(
             instance = state.settings.instance.value,
@@ -83,13 +99,13 @@
             kind = explanation.route?.kind?.name,
             refusal = explanation.refusal?.name,
             services = services.map { it.answered(state, now, limit) },
-            servicesLeftOut = explanation.services.size - services.size,
+            servicesLeftOut = leftOut,
             tables = observed.tables.map {
                 WhereTable(it.name, it.revision.era, it.revision.version, now.ageOf(it.answeredAt))
             },
             entries = entries.take(MAX_ENTRIES).map { entry ->
                 val waiting = state.waitingElsewhere[entry.instance].orEmpty()
-                val work = state.work.reported[entry.instance]
+                val work = state.work.reported.byEntry[entry.instance]
                 WhereEntry(
                     instance = entry.instance.value,
                     reportAgeMillis = now.ageOf(entry.reportedAt),
@@ -106,6 +122,11 @@
         private const val OK = 200
         private const val BAD_REQUEST = 400
         private const val METHOD_NOT_ALLOWED = 405
+        private const val TOO_MANY_REQUESTS = 429
+
+        /** A question costs as much as several requests, and the event loop serves callers too. */
+        const val MAX_PER_WINDOW = 10
+        private val WINDOW = 1.seconds
 
         /** Routes are split among a few versions of a service. */
         const val MAX_SERVICES = 8
