Bound the cached answers to hubs that lack reports

The cache of exchange answers had the sender's list of lacking entries in its key, so that any list made a new encoding of all reports. The key now holds the entries that this one can relay, and nothing for members, which get all reports anyway.

Found in review, by reading; HubReportsTest and the tests of the exchange pass.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeAnswers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangeAnswers.kt
@@ -47,7 +47,7 @@
         val contactAt = request.basis?.let { contactAt(it, now) }
         val view = peers.view(address)
         if (view != null && contactAt != null) learn(view, request, contactAt)
-        val content = contentFor(Receiver(request.isHub, request.lacking.toSet()))
+        val content = contentFor(Receiver(request.isHub, relayedTo(request)))
         return ExchangeAnswer(
             incarnation = context.incarnation,
             sentAtMillis = clock.now().toEpochMilliseconds(),
@@ -81,6 +81,15 @@
         onPushed(view)
     }
 
+    /** Entries that a hub lacks and that this one can relay; bounds the answers that are cached. */
+    private fun relayedTo(request: ExchangeRequest): Set<String> {
+        if (!request.isHub || request.lacking.isEmpty()) return emptySet()
+        val lacking = request.lacking.toSet()
+        return peers.alive.filter { it.origin == ReportOrigin.HUB }
+            .map { it.address.toString() }
+            .filterTo(mutableSetOf()) { it in lacking }
+    }
+
     private fun contentFor(receiver: Receiver): CachedContent {
         val now = clock.now()
         contents.values.removeAll {
