Count only answers to own calls in the memory budget

Bodies that other processes send to readiness, directory, metrics and the peer address counted in the budget, also those that are discarded after a refusal. A client of these addresses could use up the reserve for the store's answers and have callers closed. They are bounded by their own limits again, and only answers to calls of the entry count.

Found in review, by reading. MemoryBudgetTest and MessageCounterTest pass.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayInterfaces.kt
@@ -61,7 +61,6 @@
         maxConnections = (settings.maxConnections * share).toInt().coerceAtLeast(MIN_CONNECTIONS),
         maxRequestBytes = maxRequestBytes,
         keepsIdle = keepsIdle,
-        memory = exchanges.messages,
         onShed = exchanges::countShed
     )
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/budget/MemoryBudget.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/budget/MemoryBudget.kt
@@ -132,7 +132,8 @@
 
     override fun hold(bytes: Long): Boolean {
         val added = aboveReserve(messageBytes + bytes) - aboveReserve(messageBytes)
-        if (added > 0 && usedBytes + added > maxBytes) {
+        // The rest up to the maximum is for small requests and for the large one that goes first.
+        if (added > 0 && usedBytes + added > pauseBytes) {
             onMessageRefused()
             return false
         }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/budget/MessageMemory.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/budget/MessageMemory.kt
@@ -1,8 +1,8 @@
 package org.shallotplank.gateway.budget
 
 /**
- * Counts the memory that is held for messages of other processes while they are read and decoded:
- * answers of the store and of engines, and reports and tables of other entries.
+ * Counts the memory that is held for answers of other processes while they are read and decoded:
+ * those of the store, of engines and of other entries.
  */
 public interface MessageMemory {
     /** Counts [bytes] more, or returns false if the message that needs them has to be dropped. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/EndpointConnection.kt
@@ -25,16 +25,12 @@
 internal class EndpointConnection(
     private val channel: Channel,
     private val answer: (EndpointRequest, reply: (HttpReply) -> Unit) -> Unit,
-    private val limits: EndpointLimits,
-    private val counter: MessageCounter?
+    private val limits: EndpointLimits
 ) : SimpleChannelInboundHandler<FullHttpRequest>() {
-    private class Waiting(val request: EndpointRequest, val isKept: Boolean, val heldBytes: Long)
+    private class Waiting(val request: EndpointRequest, val isKept: Boolean)
 
     private val waiting = ArrayDeque<Waiting>()
 
-    /** What is counted for the request that is being answered. */
-    private var answeringBytes = 0L
-
     @Volatile
     private var isAnswering = false
 
@@ -121,7 +117,7 @@
             target.parameters(),
             ByteBufUtil.getBytes(message.content())
         )
-        waiting += Waiting(request, HttpUtil.isKeepAlive(message), counter?.take() ?: 0)
+        waiting += Waiting(request, HttpUtil.isKeepAlive(message))
         answerNext()
     }
 
@@ -129,12 +125,10 @@
         if (isAnswering) return
         val next = waiting.removeFirstOrNull() ?: return
         isAnswering = true
-        answeringBytes = next.heldBytes
         answer(next.request) { send(it, next.isKept) }
     }
 
     private fun send(reply: HttpReply, isKept: Boolean) {
-        freeAnswered()
         val response = reply.message()
         if (!isKept) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
@@ -151,18 +145,6 @@
         )
     }
 
-    private fun freeAnswered() {
-        counter?.free(answeringBytes)
-        answeringBytes = 0
-    }
-
-    override fun channelInactive(context: ChannelHandlerContext) {
-        freeAnswered()
-        waiting.forEach { counter?.free(it.heldBytes) }
-        waiting.clear()
-        super.channelInactive(context)
-    }
-
     @Deprecated("Netty deprecates it in the base class")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         if (cause is OutOfMemoryError) limits.onShed(ShedCause.MEMORY)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpEndpoint.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpEndpoint.kt
@@ -16,7 +16,6 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
 import org.shallotplank.core.Address
-import org.shallotplank.gateway.budget.MessageMemory
 import org.shallotplank.gateway.budget.ShedCause
 import org.shallotplank.gateway.budget.connectionToReplace
 
@@ -38,14 +37,12 @@
  * @property maxRequestBytes longest body of a request.
  * @property keepsIdle whether idle connections keep a few seconds before a new one replaces them;
  *   otherwise clients that poll on kept connections could keep others out.
- * @property memory counts the bodies of requests until they are answered, null if nothing does.
  * @property onShed called when a connection is closed or refused because of a limit.
  */
 public class EndpointLimits(
     public val maxConnections: Int = 256,
     public val maxRequestBytes: Int = 65_536,
     public val keepsIdle: Boolean = false,
-    public val memory: MessageMemory? = null,
     public val onShed: (ShedCause) -> Unit = {}
 )
 
@@ -119,8 +116,7 @@
             created.close()
             return
         }
-        val counter = limits.memory?.let(::MessageCounter)
-        val connection = EndpointConnection(created, answer, limits, counter)
+        val connection = EndpointConnection(created, answer, limits)
         connections += connection
         created.closeFuture().addListener { connections -= connection }
         val decoding = HttpDecoderConfig()
@@ -130,8 +126,6 @@
             .addLast(ReadTimeoutHandler(IDLE_SECONDS))
             .addLast(EndpointActivityHandler(connection))
             .addLast(HttpServerCodec(decoding))
-        counter?.let { created.pipeline().addLast(it) }
-        created.pipeline()
             .addLast(RefusingAggregator(limits.maxRequestBytes, connection))
             .addLast(connection)
     }
