Describe the options of 'where' without names of one platform's headers

The help named the headers of the users' platform, which only the adapter in platform/ knows. It says now what the values mean.

CommandPageTest and WhereCommandTest pass; the page was written by the test.

--- a/cli/src/main/kotlin/org/shallotplank/cli/WhereCommand.kt
+++ b/cli/src/main/kotlin/org/shallotplank/cli/WhereCommand.kt
@@ -39,17 +39,17 @@
     private val tokenCounts by option(
         "--token-counts",
         metavar = "PROMPT,MAX_OUTPUT",
-        help = "Its header Token-Counts"
+        help = "Tokens of its prompt and most tokens of its answer, as its caller states them"
     )
     private val lengthHint by option(
         "--length-hint",
         metavar = "N",
-        help = "Its header Length-Hint, in tokens"
+        help = "Tokens of its answer, as its caller expects them"
     ).int().restrictTo(min = 1)
     private val promptPrefix by option(
         "--prompt-prefix",
         metavar = "PARTS",
-        help = "Its header Prompt-Prefix"
+        help = "Parts of its prompt that it shares with others, as its caller states them"
     )
     private val json by option("--json", help = "Print JSON").flag()
 
