--- a/cli/src/test/kotlin/org/shallotplank/cli/WhereCommandTest.kt
+++ b/cli/src/test/kotlin/org/shallotplank/cli/WhereCommandTest.kt
@@ -94,7 +94,7 @@
     }
 
     private companion object {
-        /** Below the number that an entry answers per second. */
+        /** Below the limit of `AnswerRate`. */
         const val QUESTIONS = 8
 
         const val UPSTREAMS = 120
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/where/WhereInterface.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/where/WhereInterface.kt
@@ -2,7 +2,6 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import org.shallotplank.core.CustomerName
 import org.shallotplank.core.gateway.GatewayState
@@ -18,15 +17,14 @@
 /**
  * Answers which upstream this entry would choose for a request.
  *
- * Reads the state and changes nothing; use it on the event loop only.
+ * Reads the state of the entry and changes nothing in it; use it on the event loop only.
  */
 internal class WhereInterface(
     private val state: () -> GatewayState,
     private val observations: () -> Observations,
     private val now: () -> Instant
 ) {
-    private var windowStartedAt = Instant.DISTANT_PAST
-    private var answeredInWindow = 0
+    private val rate = AnswerRate()
 
     fun answer(request: EndpointRequest): HttpReply {
         if (request.method != "GET") return HttpReply(METHOD_NOT_ALLOWED)
@@ -37,20 +35,11 @@
         }
         val current = state()
         val at = now()
-        if (!mayAnswer(at)) return HttpReply(TOO_MANY_REQUESTS)
+        if (!rate.mayAnswer(at)) return HttpReply(TOO_MANY_REQUESTS)
         val answer = answerOf(current.explain(question, at, MAX_SERVICES), current, at)
         return HttpReply(OK, answer.encode().toByteArray())
     }
 
-    private fun mayAnswer(now: Instant): Boolean {
-        if (now - windowStartedAt >= WINDOW) {
-            windowStartedAt = now
-            answeredInWindow = 0
-        }
-        answeredInWindow++
-        return answeredInWindow <= MAX_PER_WINDOW
-    }
-
     private fun questionOf(request: EndpointRequest): RequestQuestion {
         val path = request.parameter(WhereQuery.PATH).orEmpty()
         require(path.startsWith("/")) { "${WhereQuery.PATH}: expected a path" }
@@ -124,10 +113,6 @@
         private const val METHOD_NOT_ALLOWED = 405
         private const val TOO_MANY_REQUESTS = 429
 
-        /** A question costs as much as several requests, and the event loop serves callers too. */
-        const val MAX_PER_WINDOW = 10
-        private val WINDOW = 1.seconds
-
         /** Routes are split among a few versions of a service. */
         const val MAX_SERVICES = 8
 
