--- a/core/src/main/kotlin/org/shallotplank/core/gateway/RequestPriorities.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/RequestPriorities.kt
@@ -40,7 +40,7 @@
         val pairs = ordered[service].orEmpty()
         // A single priority is passed on as configured.
         if (pairs.size <= 1) return RequestPriority(pairOf(route, holder).customer, ONLY_CLASS)
-        // Equal to its index; a priority of a question that nobody has goes by its place.
+        // The index of a configured pair. One that is not configured takes its place among them.
         val own = pairOf(route, holder)
         val level = pairs.count { ORDER.compare(it, own) < 0 }.coerceAtMost(pairs.size - 1)
         val classes = Priority.entries
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/caller/DiscardedRequest.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/caller/DiscardedRequest.kt
@@ -59,7 +59,7 @@
 internal fun discardedAfter(status: HttpResponseStatus, now: Instant) =
     DiscardedRequest(now, isWithinLimits = status in WITHIN_LIMITS)
 
-/** Refusals of callers that keep the limits, or do not but for the size of the body. */
+/** Refusals after which the caller may still be sending its body at an ordinary rate. */
 private val WITHIN_LIMITS = setOf(
     HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
     HttpResponseStatus.SERVICE_UNAVAILABLE
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
@@ -158,8 +158,8 @@
         const val MAX_REPLY_BYTES = 4 * 1_048_576
 
         /**
-         * Callers decode an answer in the next turns of the event loop, before a task of this delay
-         * can run.
+         * Estimate of the time until an answer is decoded, which happens in the next turns of the
+         * event loop and is not reported to the client.
          */
         val DECODING_TIME = 20.milliseconds
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangedReports.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/ExchangedReports.kt
@@ -53,7 +53,7 @@
     }
 }
 
-/** Peer addresses of the entries whose reports this entry has not got directly of late. */
+/** Peer addresses of the entries whose reports reached this entry only relayed, or not at all. */
 internal fun Peers.lackingReports(now: Instant): List<String> =
     all.filter { now - it.directAt >= DIRECT_TIME }.map { it.address.toString() }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/PeerView.kt
@@ -26,7 +26,7 @@
     /** [lastContactAt] of the latest report that no hub passed on to another hub on its way. */
     var directAt: Instant = Instant.DISTANT_PAST
 
-    /** Until when this entry relies on others for the reports, and does not poll as a hub. */
+    /** Until when a hub need not poll the entry, since its reports arrive by exchange. */
     var coveredUntil: Instant = Instant.DISTANT_PAST
 
     /** Until when it is not asked for an exchange, because it failed to answer one. */
