--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
@@ -44,7 +44,7 @@
     /** Checks whether an upstream that lost attempts still accepts connections. */
     public data class CheckAlive(val upstream: UpstreamKey, val address: Address) : GatewayEffect
 
-    /** Reports a crash to the other entries. */
+    /** Reports a request's crashes, or that an answer cleared them, to all other entries. */
     public data class ShareCrash(val record: CrashRecord) : GatewayEffect
 
     /** Writes a log line. */
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEndings.kt
@@ -122,7 +122,7 @@
     }
     return ended.then { it.endServiceIfDue(context) }
         .then { it.clearDeliveredParts(context) }
-        .then { it.expirePartQuarantine(context.now) }
+        .then { it.expireQuarantine(context.now) }
         .then { it.expireEarlyRequests(context) }
         .then { it.updateSlowLimits(context) }
         .then { it.moveSlowStreams(context) }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayQuarantine.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayQuarantine.kt
@@ -58,6 +58,9 @@
     context: GatewayContext
 ): GatewayStep {
     val merged = quarantine.merge(record)
+    val before = quarantine.records[record.fingerprint]?.crashes.orEmpty()
+    val after = merged.records[record.fingerprint]?.crashes.orEmpty()
+    if (before.size == after.size) return Step(copy(quarantine = merged))
     val line = logRecord(
         LogEvent.GATEWAY_CRASH_LEARNED,
         "attempts" to record.crashes.joinToString(",") { it.attempt.value },
@@ -94,11 +97,16 @@
 
 /** Records that an upstream answered [call] with [status] and stayed up. */
 internal fun GatewayState.withAnswered(call: GatewayCall, status: Int, now: Instant): GatewayStep {
+    val wasSuspect = quarantine.records[call.fingerprint]?.crashes.orEmpty().isNotEmpty()
     val cleared = copy(quarantine = quarantine.answered(call.fingerprint, now))
-    if (status !in SUCCESSES) return Step(cleared)
-    return cleared.withPartQuarantine(
-        partQuarantine.answered(call.request.sharedParts, now)
-    )
+    val shared = cleared.quarantine.records[call.fingerprint]
+        ?.takeIf { wasSuspect }
+        ?.let { GatewayEffect.ShareCrash(it) }
+    val step = Step(cleared, listOfNotNull(shared).toPersistentList())
+    if (status !in SUCCESSES) return step
+    return step.then {
+        it.withPartQuarantine(it.partQuarantine.answered(call.request.sharedParts, now))
+    }
 }
 
 /**
@@ -133,8 +141,8 @@
 }
 
 /** Drops expired crashes. */
-internal fun GatewayState.expirePartQuarantine(now: Instant): GatewayStep =
-    withPartQuarantine(partQuarantine.expire(now))
+internal fun GatewayState.expireQuarantine(now: Instant): GatewayStep =
+    copy(quarantine = quarantine.expire(now)).withPartQuarantine(partQuarantine.expire(now))
 
 /** Start of the digest, which tells requests apart in a log line. */
 private val RequestFingerprint.logged: String get() = bodySha256.take(LOGGED_DIGEST_LENGTH)
--- a/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/log/LogEvent.kt
@@ -76,6 +76,7 @@
     GATEWAY_ROUTES_IGNORED(5028, Severity.WARN, "routes older than those in force; ignored"),
     STORE_RESTORED(5029, Severity.WARN, "store was restored from a copy"),
     GATEWAY_ANSWER_SKIPPED(5030, Severity.WARN, "answer to another request skipped"),
+    GATEWAY_STATE_RETAINED(5031, Severity.INFO, "state that outlives the process was written"),
     GATEWAY_HUB_CHANGED(5040, Severity.INFO, "entry gets the reports of others in another way"),
     GATEWAY_UPSTREAM_SLOW(5041, Severity.WARN, "slow upstream gets fewer requests or none"),
     GATEWAY_UPSTREAM_RECOVERED(5042, Severity.INFO, "upstream gets all its requests again"),
--- a/core/src/main/kotlin/org/shallotplank/core/quarantine/CrashRecord.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/quarantine/CrashRecord.kt
@@ -24,7 +24,10 @@
     val crashes: SerializableList<Crash> = persistentListOf(),
     val answeredAt: Instant = Instant.DISTANT_PAST,
     val expiresAt: Instant = Instant.DISTANT_PAST
-)
+) {
+    /** Whether the request was answered at any time. */
+    val isAnswered: Boolean get() = answeredAt > Instant.DISTANT_PAST
+}
 
 /** Crashes after which a request is refused. */
 public const val CRASHES_TO_QUARANTINE: Int = 2
--- a/core/src/main/kotlin/org/shallotplank/core/quarantine/Quarantine.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/quarantine/Quarantine.kt
@@ -56,7 +56,9 @@
     /** Merges the [record] that another process has of one request. */
     public fun merge(record: CrashRecord): Quarantine {
         val merged = records[record.fingerprint]?.merge(record) ?: record.normalized()
-        return copy(records = records.put(record.fingerprint, merged))
+        return copy(
+            records = records.put(record.fingerprint, merged).withinLimit(MAX_RECORDS)
+        )
     }
 
     /** Merges all records of another process. */
@@ -70,6 +72,11 @@
         val kept = expired.fold(records) { kept, record -> kept.remove(record.fingerprint) }
         return copy(records = kept)
     }
+
+    private companion object {
+        /** Bounds the memory against callers whose requests crash upstreams all the time. */
+        const val MAX_RECORDS = 4_096
+    }
 }
 
 /** How to treat a request. */
@@ -84,6 +91,24 @@
     QUARANTINED
 }
 
+/**
+ * Drops records until [max] are left.
+ *
+ * The customer with the most records loses one first, so that none displaces those of others; of
+ * its records, those with fewer crashes go before older ones.
+ */
+public fun PersistentMap<RequestFingerprint, CrashRecord>.withinLimit(
+    max: Int
+): PersistentMap<RequestFingerprint, CrashRecord> {
+    var kept = this
+    while (kept.size > max) {
+        val crowded = kept.values.groupBy { it.fingerprint.customer }.values.maxBy { it.size }
+        val dropped = crowded.minWith(compareBy({ it.crashes.size }, { it.expiresAt }))
+        kept = kept.remove(dropped.fingerprint)
+    }
+    return kept
+}
+
 private fun CrashRecord.merge(other: CrashRecord): CrashRecord = copy(
     crashes = (crashes + other.crashes).toPersistentList(),
     answeredAt = maxOf(answeredAt, other.answeredAt),
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -1,6 +1,7 @@
 package org.shallotplank.gateway
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.collections.immutable.toPersistentSet
@@ -19,6 +20,7 @@
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
+import org.shallotplank.core.quarantine.CrashRecord
 import org.shallotplank.gateway.group.RankPort
 import org.shallotplank.gateway.http.HttpClient
 import org.shallotplank.gateway.http.HttpClients
@@ -39,6 +41,8 @@
 import org.shallotplank.gateway.peer.upstreamRateTable
 import org.shallotplank.gateway.peer.waitingTable
 import org.shallotplank.gateway.peer.workTable
+import org.shallotplank.gateway.retention.RetainedRequests
+import org.shallotplank.gateway.retention.StateRetention
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.StoreRow
 import org.shallotplank.gateway.store.TableReplica
@@ -102,6 +106,8 @@
         log = log
     )
     private lateinit var registration: Registration
+    private lateinit var retention: StateRetention
+    private var cleanedAt: Instant = clock.now()
     private var seeds = settings.seedAddresses.toSet()
     private var staleSince: Instant? = clock.now()
     private val crashes = SharedCrashes(clock) { exchanges.emit(GatewayEvent.CrashLearned(it)) }
@@ -187,7 +193,19 @@
         )
         keeping.start(store, ranks)
         registration = Registration(settings.instanceId.value, row, schema.entryTable, store)
-        exchanges.onCrash = crashes::add
+        retention = StateRetention(
+            instance = settings.instanceId.value,
+            table = schema.entryTable,
+            store = store,
+            clock = clock,
+            requests = RetainedRequests({ exchanges.state.quarantine }, ::onCrashRetained),
+            log = log
+        )
+        exchanges.onCrash = { record ->
+            crashes.add(record)
+            retention.add(record)
+            writeRetained(clock.now())
+        }
         tables.start(store, scope)
         scope.launch { registration.keep(::entryReplica) { !exchanges.state.isStopping } }
         exchange.start(seeds)
@@ -215,6 +233,25 @@
         exchange.tick(now)
         emitPeers()
         keeping.tick(now)
+        writeRetained(now)
+        deleteExpiredRows(now)
+    }
+
+    private fun onCrashRetained(record: CrashRecord) {
+        if (record.crashes.isEmpty()) crashes.add(record)
+        exchanges.emit(GatewayEvent.CrashLearned(record))
+    }
+
+    private fun writeRetained(now: Instant) {
+        if (!retention.isDue(entryReplica(), now)) return
+        scope.launch { retention.write(entryReplica()) }
+    }
+
+    private fun deleteExpiredRows(now: Instant) {
+        if (now - cleanedAt < CLEANING_INTERVAL) return
+        cleanedAt = now
+        val isFirst = reports.serving.all { settings.instanceId.value < it.instance }
+        if (isFirst) scope.launch { retention.deleteExpired(entryReplica()) }
     }
 
     private fun registeredIncarnation(instance: String): Long? =
@@ -276,7 +313,10 @@
                 upstreams.update(replica, tables[table].returnedAt, clock.now())
                 emitUpstreams()
             }
-            schema.entryTable -> followPeers()
+            schema.entryTable -> {
+                followPeers()
+                retention.read(replica)
+            }
         }
     }
 
@@ -377,5 +417,8 @@
 
         /** Time after which an entry serves with its current copies if the store is silent. */
         val REFRESH_TIMEOUT = 2.seconds
+
+        /** Interval of checks for rows that nobody needs; short relative to their time to live. */
+        val CLEANING_INTERVAL = 1.minutes
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/peer/SharedCrashes.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/peer/SharedCrashes.kt
@@ -1,6 +1,7 @@
 package org.shallotplank.gateway.peer
 
 import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -23,9 +24,15 @@
         get() = clock.now().let { now -> seenAt.filterValues { now - it <= REPORT_PERIOD } }
             .keys.toList()
 
-    /** Adds the crashes of [record], which this entry observed. */
+    /**
+     * Adds the crashes of [record], which this entry observed.
+     *
+     * A record without crashes was cleared by an answer; its earlier crashes are not reported any
+     * more, since an entry that starts would take them for later than the answer.
+     */
     fun add(record: CrashRecord) {
         val fingerprint = record.fingerprint
+        if (record.crashes.isEmpty()) return endReportsOf(fingerprint)
         for (crash in record.crashes) {
             val known = KnownCrash(
                 fingerprint.customer.value,
@@ -36,6 +43,13 @@
         }
     }
 
+    private fun endReportsOf(fingerprint: RequestFingerprint) {
+        val reportedUntil = clock.now() - REPORT_PERIOD - 1.milliseconds
+        seenAt.keys.filter { it.bodySha256 == fingerprint.bodySha256 }
+            .filter { it.customer == fingerprint.customer.value }
+            .forEach { seenAt[it] = minOf(seenAt.getValue(it), reportedUntil) }
+    }
+
     /** Records [crash] as of its arrival, because processes have different monotonic clocks. */
     fun learn(crash: KnownCrash) {
         if (seenAt.put(crash, seenAt[crash] ?: clock.now()) != null) return
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/MetadataStore.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/MetadataStore.kt
@@ -49,6 +49,9 @@
 
 /** The transactional store that the system's processes share. */
 public interface MetadataStore {
+    /** What the store's steady clock is ahead of that of this process, null while unknown. */
+    public val clockOffset: Duration? get() = null
+
     /** Reads a whole table. */
     public suspend fun read(table: String): Either<StoreFailure, TableContents>
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayProcessFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayProcessFixture.kt
@@ -44,7 +44,8 @@
     private val stopGrace: Duration = 2.seconds,
     private val instance: String = "entry",
     private val zone: String = "a",
-    private val maxPollingEntries: Int = 24
+    private val maxPollingEntries: Int = 24,
+    private val incarnation: Long = 1
 ) {
     private val service = ServiceName("s")
     private val address = LoopbackAddresses.reserve()
@@ -75,7 +76,7 @@
             clock = clock,
             random = Random(1),
             writer = JsonLogWriter("test", clock, Clock.System, OutputStream.nullOutputStream()),
-            incarnation = 1,
+            incarnation = incarnation,
             wallClock = Clock.System
         )
     )
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
@@ -16,12 +16,16 @@
 import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Nested
+import org.shallotplank.core.AttemptId
+import org.shallotplank.core.CustomerName
 import org.shallotplank.core.InstanceId
 import org.shallotplank.core.gateway.ObservedRate
 import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.core.quarantine.PartQuarantine
 import org.shallotplank.core.quarantine.PromptCrash
 import org.shallotplank.core.quarantine.PromptPart
+import org.shallotplank.core.quarantine.Quarantine
+import org.shallotplank.core.quarantine.RequestFingerprint
 import org.shallotplank.gateway.group.GroupLease
 import org.shallotplank.gateway.group.KeeperCandidate
 import org.shallotplank.gateway.peer.PROMPT_CRASHES
@@ -33,6 +37,11 @@
 import org.shallotplank.gateway.peer.reportedVersions
 import org.shallotplank.gateway.peer.revisionOf
 import org.shallotplank.gateway.peer.upstreamRateTable
+import org.shallotplank.gateway.retention.RetainedRow
+import org.shallotplank.gateway.retention.StateRetention
+import org.shallotplank.gateway.retention.StoreTimes
+import org.shallotplank.gateway.retention.toRecord
+import org.shallotplank.gateway.retention.toRetained
 import org.shallotplank.gateway.store.StoreRevision
 import org.shallotplank.gateway.store.StoreRow
 
@@ -227,6 +236,37 @@
         }
     }
 
+    /** Guards against rows in the entry table that another build takes for entries or leases. */
+    @Nested
+    inner class RetainedRows {
+        @Test
+        fun `are neither entries nor leases to build 4c2d8cf`() {
+            val prefixes4c2d8cf = listOf("entry/", "group/")
+            assertTrue(prefixes4c2d8cf.none { StateRetention.KEY_PREFIX.startsWith(it) })
+        }
+
+        @Test
+        fun `are read although a later build added a field`() {
+            val value = """{"requests":[{"customer":"c","bodySha256":"00",
+                "crashes":[{"attempt":"a","atMillis":5,"added":1}],"added":{}}],"added":[]}"""
+            val request = RetainedRow.decode(value).requests.single()
+            assertEquals("a", request.crashes.single().attempt)
+        }
+
+        @Test
+        fun `are read as they were written`() {
+            val times = StoreTimes(clock.now(), offset = 3.seconds)
+            val record = Quarantine()
+                .crashed(RequestFingerprint(CustomerName("c"), "00"), AttemptId("a"), clock.now())
+                .records.values.single()
+            val row = RetainedRow(listOf(record.toRetained(times)))
+            val read = RetainedRow.decode(row.encode()).requests.single()
+            val decoded = read.toRecord(times, timeToLive = Quarantine().timeToLive)
+            assertEquals(record.fingerprint, decoded.fingerprint)
+            assertEquals(record.crashes.map { it.attempt }, decoded.crashes.map { it.attempt })
+        }
+    }
+
     private companion object {
         const val TOLERANCE_MILLIS = 500
     }
