--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
@@ -47,6 +47,9 @@
     /** Reports a request's crashes, or that an answer cleared them, to all other entries. */
     public data class ShareCrash(val record: CrashRecord) : GatewayEffect
 
+    /** Retains what is known of the crash of [upstream] after all processes have ended. */
+    public data class RetainPromptCrash(val upstream: String) : GatewayEffect
+
     /** Writes a log line. */
     public data class Log(val record: LogRecord) : GatewayEffect
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayQuarantine.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayQuarantine.kt
@@ -49,10 +49,16 @@
     val cleared = copy(quarantine = updatedQuarantine)
         .put(upstream.failed(now).copy(suspects = upstream.suspects.clear()))
     return Step(cleared, (shared + GatewayEffect.Log(record)).toPersistentList())
-        .then { it.withPartQuarantine(it.partQuarantine.merge(PromptCrash("$key", now, parts))) }
+        .then { it.onPromptCrash(PromptCrash("$key", now, parts)) }
         .then { it.refuseQuarantined(context) }
 }
 
+private fun GatewayState.onPromptCrash(crash: PromptCrash): GatewayStep {
+    val step = withPartQuarantine(partQuarantine.merge(crash))
+    if (crash.parts.isEmpty()) return step
+    return step.then { it.effect(GatewayEffect.RetainPromptCrash(crash.upstream)) }
+}
+
 internal fun GatewayState.onCrashLearned(
     record: CrashRecord,
     context: GatewayContext
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -41,7 +42,9 @@
 import org.shallotplank.gateway.peer.upstreamRateTable
 import org.shallotplank.gateway.peer.waitingTable
 import org.shallotplank.gateway.peer.workTable
+import org.shallotplank.gateway.retention.RetainedPromptCrashes
 import org.shallotplank.gateway.retention.RetainedRequests
+import org.shallotplank.gateway.retention.RetainedState
 import org.shallotplank.gateway.retention.StateRetention
 import org.shallotplank.gateway.store.MetadataStore
 import org.shallotplank.gateway.store.StoreRow
@@ -198,7 +201,12 @@
             table = schema.entryTable,
             store = store,
             clock = clock,
-            requests = RetainedRequests({ exchanges.state.quarantine }, ::onCrashRetained),
+            state = RetainedState(
+                RetainedRequests({ exchanges.state.quarantine }, ::onCrashRetained),
+                RetainedPromptCrashes({ exchanges.state.partQuarantine }) {
+                    exchanges.emit(GatewayEvent.PromptCrashesLearned(it.toPersistentList()))
+                }
+            ),
             log = log
         )
         exchanges.onCrash = { record ->
@@ -206,6 +214,10 @@
             retention.add(record)
             writeRetained(clock.now())
         }
+        exchanges.onPromptCrash = { upstream ->
+            retention.addPromptCrash(upstream)
+            writeRetained(clock.now())
+        }
         tables.start(store, scope)
         scope.launch { registration.keep(::entryReplica) { !exchanges.state.isStopping } }
         exchange.start(seeds)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/EffectRunner.kt
@@ -31,6 +31,7 @@
     private val state: () -> GatewayState,
     private val emit: (GatewayEvent) -> Unit,
     private val onCrash: (CrashRecord) -> Unit,
+    private val onPromptCrash: (upstream: String) -> Unit,
     private val log: (LogRecord) -> Unit
 ) {
     /** Carries out [effect]. */
@@ -43,6 +44,7 @@
             is GatewayEffect.Cut -> cut(effect.requestId)
             is GatewayEffect.CheckAlive -> checkAlive(effect)
             is GatewayEffect.ShareCrash -> onCrash(effect.record)
+            is GatewayEffect.RetainPromptCrash -> onPromptCrash(effect.upstream)
             is GatewayEffect.Log -> log(effect.record)
         }
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -83,6 +83,7 @@
         state = { state },
         emit = ::emit,
         onCrash = { onCrash(it) },
+        onPromptCrash = { onPromptCrash(it) },
         log = log
     )
     private val events = ArrayDeque<GatewayEvent>()
@@ -97,6 +98,9 @@
     /** Called with each crash that the reducer attributes to a request. */
     var onCrash: (CrashRecord) -> Unit = {}
 
+    /** Called with each upstream that crashed with requests whose prompts may be the cause. */
+    var onPromptCrash: (upstream: String) -> Unit = {}
+
     /** The state after the last event. */
     var state = GatewayState(settings.toReducerSettings())
         private set
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedRequests.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedRequests.kt
@@ -59,10 +59,6 @@
         others -= key
     }
 
-    /** Keys of the rows of other entries that retain nothing any more at [now]. */
-    fun expiredRows(now: Instant): Set<String> =
-        others.filterValues { records -> records.all { it.expiresAt <= now } }.keys.toSet()
-
     /** Drops what no longer counts at [now]; returns how soon to write that. */
     fun expire(now: Instant): WriteUrgency {
         if (own.records.isEmpty()) return WriteUrgency.NONE
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedRow.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedRow.kt
@@ -3,12 +3,15 @@
 import kotlin.time.Duration
 import kotlin.time.Instant
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.shallotplank.core.AttemptId
 import org.shallotplank.core.CustomerName
 import org.shallotplank.core.quarantine.Crash
 import org.shallotplank.core.quarantine.CrashRecord
+import org.shallotplank.core.quarantine.PromptCrash
+import org.shallotplank.core.quarantine.PromptPart
 import org.shallotplank.core.quarantine.RequestFingerprint
 
 /**
@@ -18,7 +21,12 @@
  * null if the store reports no time.
  */
 @Serializable
-internal class RetainedRow(val requests: List<RetainedRequest> = emptyList()) {
+internal class RetainedRow(
+    val requests: List<RetainedRequest> = emptyList(),
+    val promptCrashes: List<RetainedPromptCrash> = emptyList(),
+    /** When nothing of the row counts any more. */
+    val expiresAtMillis: Long? = null
+) {
     fun encode(): String = format.encodeToString(this)
 
     internal companion object {
@@ -44,6 +52,15 @@
 @Serializable
 internal class RetainedCrash(val attempt: String, val atMillis: Long? = null)
 
+/** A crash of [upstream] and the prompt parts that may have caused it. */
+@Serializable
+internal class RetainedPromptCrash(
+    val upstream: String,
+    val atMillis: Long? = null,
+    val parts: List<String> = emptyList(),
+    val establishedParts: List<String> = emptyList()
+)
+
 /**
  * Converts times between the clock of this process and that of the store.
  *
@@ -57,6 +74,8 @@
         if (millis == null || offset == null) return now
         return (Instant.fromEpochMilliseconds(millis) - offset).coerceAtMost(now)
     }
+
+    fun isPast(at: Instant): Boolean = at <= now
 }
 
 internal fun CrashRecord.toRetained(times: StoreTimes): RetainedRequest = RetainedRequest(
@@ -77,3 +96,17 @@
         expiresAt = (counted.map { it.at } + answeredAt).max() + timeToLive
     )
 }
+
+internal fun PromptCrash.toRetained(times: StoreTimes): RetainedPromptCrash = RetainedPromptCrash(
+    upstream = upstream,
+    atMillis = times.toMillis(at),
+    parts = parts.map { it.value },
+    establishedParts = establishedParts.map { it.value }
+)
+
+internal fun RetainedPromptCrash.toCrash(times: StoreTimes): PromptCrash = PromptCrash(
+    upstream = upstream,
+    at = times.toInstant(atMillis),
+    parts = parts.map(::PromptPart).toPersistentSet(),
+    establishedParts = establishedParts.map(::PromptPart).toPersistentSet()
+)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/retention/StateRetention.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/retention/StateRetention.kt
@@ -33,11 +33,14 @@
     private val table: String,
     private val store: MetadataStore,
     private val clock: Clock,
-    private val requests: RetainedRequests,
+    private val state: RetainedState,
     private val log: (LogRecord) -> Unit
 ) {
     private val ownKey = KEY_PREFIX + instance
     private val readValues = HashMap<String, String>()
+
+    /** When the rows of other entries expire, by the store's clock. */
+    private val expiresAtMillis = HashMap<String, Long>()
     private var urgency = WriteUrgency.NONE
     private var attemptedAt: Instant = Instant.DISTANT_PAST
     private var isWriting = false
@@ -46,14 +49,18 @@
     private var written: WrittenRow? = null
 
     /** Retains [record], which this entry observed. */
-    fun add(record: CrashRecord): Unit = request(requests.add(record))
+    fun add(record: CrashRecord): Unit = request(state.requests.add(record))
+
+    /** Retains the crash of [upstream], in which this entry lost requests. */
+    fun addPromptCrash(upstream: String): Unit = request(state.promptCrashes.add(upstream))
 
     /** Reads the rows of [replica] that have changed. */
     fun read(replica: TableReplica) {
         val rows = (replica.rows + replica.lostRows).filter { it.key.startsWith(KEY_PREFIX) }
         for (gone in readValues.keys - rows.map { it.key }.toSet()) {
             readValues -= gone
-            requests.removeOther(gone)
+            expiresAtMillis -= gone
+            state.removeOther(gone)
         }
         for (row in rows) {
             if (readValues.put(row.key, row.value) != row.value) read(row)
@@ -64,15 +71,16 @@
         val content = decode(row) ?: return
         val times = times()
         if (row.key != ownKey) {
-            request(requests.readOther(row.key, content.requests, times))
+            content.expiresAtMillis?.let { expiresAtMillis[row.key] = it }
+            request(state.readOther(row.key, content, times))
         } else if (row.value != written?.value) {
-            requests.readOwn(content.requests, times)
+            state.readOwn(content, times)
         }
     }
 
     /** Whether a write is due at [now], given the copy of the table in [replica]. */
     fun isDue(replica: TableReplica, now: Instant): Boolean {
-        request(requests.expire(now))
+        request(state.update(now))
         val elapsed = now - attemptedAt
         return when {
             isWriting || !replica.isRead || isAwaited(replica) -> false
@@ -95,7 +103,8 @@
             log(
                 logRecord(
                     LogEvent.GATEWAY_STATE_RETAINED,
-                    "requests" to requests.records.size,
+                    "requests" to state.requests.records.size,
+                    "prompt_crashes" to state.promptCrashes.crashes.size,
                     "failure" to outcome.leftOrNull()
                 )
             )
@@ -106,19 +115,19 @@
 
     private suspend fun writeOrDelete(replica: TableReplica): Either<StoreFailure, Unit> {
         val expected = replica.revisionOf(ownKey)
-        if (requests.records.isEmpty()) {
+        if (state.isEmpty) {
             written = null
             if (expected.version == 0L) return Unit.right()
             return store.delete(table, ownKey, expected)
         }
-        val times = times()
-        val value = RetainedRow(requests.records.map { it.toRetained(times) }).encode()
+        val value = state.toRow(times()).encode()
         return store.write(table, ownKey, value, expected).map { written = WrittenRow(value, it) }
     }
 
     /** Deletes the rows of other entries in [replica] that retain nothing any more. */
     suspend fun deleteExpired(replica: TableReplica) {
-        for (key in requests.expiredRows(clock.now())) {
+        val nowMillis = times().toMillis(clock.now()) ?: return
+        for (key in expiresAtMillis.filterValues { it <= nowMillis }.keys.toList()) {
             store.delete(table, key, replica.revisionOf(key))
         }
     }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayProcessFixture.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GatewayProcessFixture.kt
@@ -70,7 +70,7 @@
         directory = DirectoryWire("/ready", "/lookup") { addresses, _ ->
             addresses.joinToString(",").toByteArray()
         },
-        store = { tables },
+        store = { TimedTables(tables) },
         ranks = { _, _ -> NoRanks },
         environment = GatewayEnvironment(
             clock = clock,
@@ -102,9 +102,9 @@
         it.getInputStream().bufferedReader().readText()
     }
 
-    /** Sends a request that may run once and returns the status line of its answer. */
-    fun statusOfRequest(): String = connect().use { caller ->
-        caller.send(request("unsafe"))
+    /** Sends [request], which may run once, and returns the status line of its answer. */
+    fun statusOfRequest(request: String = request("unsafe")): String = connect().use { caller ->
+        caller.send(request)
         caller.getInputStream().bufferedReader().readLine().orEmpty()
     }
 
@@ -154,6 +154,11 @@
         maxPollingEntries = maxPollingEntries
     )
 
+    /** [tables] with the time of day as the store's clock, which all fixtures share. */
+    private inner class TimedTables(tables: MetadataStore) : MetadataStore by tables {
+        override val clockOffset: Duration get() = Clock.System.now() - clock.now()
+    }
+
     private object NoRanks : RankPort {
         override suspend fun report(rank: RankAddress): RankReport? = null
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/RestartedEntryTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/RestartedEntryTest.kt
@@ -10,7 +10,7 @@
 
 /** Guards against requests that crash more upstreams after each end of all processes (BUDGET). */
 class RestartedEntryTest {
-    private val tables = SharedTables().apply { put(TestTables.UPSTREAMS, "u", "{}") }
+    private val tables = SharedTables()
     private var incarnation = 0L
     private val upstreams = mutableListOf<ScriptedUpstream>()
 
@@ -28,19 +28,25 @@
     }
 
     /** Answer of an entry that has just started, in front of [upstream], and that then stops. */
-    private fun answerOfNewEntry(upstream: ScriptedUpstream): String {
+    private fun answerOfNewEntry(
+        upstream: ScriptedUpstream,
+        request: String = request("unsafe")
+    ): String {
+        val upstreamId = "u${++incarnation}"
+        tables.put(TestTables.UPSTREAMS, upstreamId, "{}")
         val entry = GatewayProcessFixture(
             upstream = upstream.address,
             tables = tables,
             stopGrace = 1.seconds,
-            incarnation = ++incarnation
+            incarnation = incarnation
         )
         entry.start()
         val deadline = Clock.System.now() + 10.seconds
         while (!entry.isReady()) assertTrue(Clock.System.now() < deadline)
-        val answer = entry.statusOfRequest()
+        val answer = entry.statusOfRequest(request)
         Thread.sleep(SETTLING_MILLIS)
         entry.process.stop()
+        tables.remove(TestTables.UPSTREAMS, upstreamId)
         return answer
     }
 
@@ -56,6 +62,21 @@
         }
     }
 
+    @Nested
+    inner class APromptPartThatCrashedTwoUpstreams {
+        private fun prompt(number: Int) =
+            request("unsafe", extra = "X-Prompt: bad:10,own$number:5\r\n", body = "$number")
+
+        @Test
+        fun `is refused by an entry that never saw a crash`() {
+            assertEquals(BAD_GATEWAY, answerOfNewEntry(crashing(), prompt(1)))
+            assertEquals(BAD_GATEWAY, answerOfNewEntry(crashing(), prompt(2)))
+            val third = crashing()
+            assertEquals(UNAVAILABLE, answerOfNewEntry(third, prompt(3)))
+            assertTrue(third.requests.isEmpty())
+        }
+    }
+
     private companion object {
         const val BAD_GATEWAY = "HTTP/1.1 502 Bad Gateway"
         const val UNAVAILABLE = "HTTP/1.1 503 Service Unavailable"
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/retention/StateRetentionTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/retention/StateRetentionTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -10,10 +11,14 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.AttemptId
 import org.shallotplank.core.CustomerName
+import org.shallotplank.core.quarantine.PartQuarantine
+import org.shallotplank.core.quarantine.PromptCrash
+import org.shallotplank.core.quarantine.PromptPart
 import org.shallotplank.core.quarantine.Quarantine
 import org.shallotplank.core.quarantine.QuarantineVerdict
 import org.shallotplank.core.quarantine.RequestFingerprint
@@ -31,13 +36,19 @@
             override fun now(): Instant = Instant.fromEpochMilliseconds(0) + clockStart + store.now
         }
         var quarantine = Quarantine()
+        var partQuarantine = PartQuarantine()
         private val seen = store.client(clock)
         private val retention = StateRetention(
             instance = name,
             table = "entries",
             store = seen,
             clock = clock,
-            requests = RetainedRequests({ quarantine }) { quarantine = quarantine.merge(it) },
+            state = RetainedState(
+                RetainedRequests({ quarantine }) { quarantine = quarantine.merge(it) },
+                RetainedPromptCrashes({ partQuarantine }) { crashes ->
+                    partQuarantine = crashes.fold(partQuarantine, PartQuarantine::merge)
+                }
+            ),
             log = {}
         )
 
@@ -56,6 +67,22 @@
             retention.add(quarantine.records.getValue(fingerprint))
         }
 
+        /** Loses requests with [parts] in the crash of [upstream]. */
+        fun crash(upstream: String, vararg parts: String) {
+            val lost = parts.map(::PromptPart).toPersistentSet()
+            partQuarantine = partQuarantine.ran(lost)
+                .merge(PromptCrash(upstream, clock.now(), lost))
+            retention.addPromptCrash(upstream)
+        }
+
+        fun answer(vararg parts: String) {
+            val answered = parts.map(::PromptPart).toSet()
+            partQuarantine = partQuarantine.answered(answered, clock.now())
+        }
+
+        fun refuses(part: String): Boolean =
+            partQuarantine.refusedPart(setOf(PromptPart(part))) != null
+
         fun deleteExpired() = runBlocking { retention.deleteExpired(seen.replica) }
 
         fun verdict(fingerprint: RequestFingerprint) = quarantine.verdict(fingerprint, clock.now())
@@ -244,6 +271,67 @@
         }
     }
 
+    /** Guards against prompt parts that crash more engines after each end of all processes. */
+    @Nested
+    inner class APromptPart {
+        @Test
+        fun `is refused after all processes ended between its crashes and after them`() {
+            start("a").crash("u1", "bad", "first")
+            pass(200.milliseconds)
+            killAll()
+            start("b").also { pass(600.milliseconds) }.crash("u2", "bad", "second")
+            pass(200.milliseconds)
+            killAll()
+            val later = start("c")
+            pass(200.milliseconds)
+            assertTrue(later.refuses("bad"))
+            assertFalse(later.refuses("first"))
+        }
+
+        @Test
+        fun `that was answered since the crash is not suspect in later lives`() {
+            val entry = start("a")
+            entry.crash("u1", "bad", "popular")
+            pass(200.milliseconds)
+            entry.answer("popular")
+            pass(6.seconds)
+            killAll()
+            val second = start("a").also { pass(200.milliseconds) }
+            second.crash("u2", "popular")
+            pass(200.milliseconds)
+            killAll()
+            val later = start("b")
+            pass(200.milliseconds)
+            assertFalse(later.refuses("popular"))
+        }
+
+        @Test
+        fun `is served again after the time to live, and its rows are deleted`() {
+            start("a").crash("u1", "bad")
+            pass(600.milliseconds)
+            start("b").crash("u2", "bad")
+            pass(200.milliseconds)
+            killAll()
+            store.now += 30.minutes
+            val later = start("c")
+            pass(200.milliseconds)
+            assertFalse(later.refuses("bad"))
+            later.deleteExpired()
+            assertEquals(emptySet(), store.rows.keys)
+        }
+
+        @Test
+        fun `takes little of the store however many crash upstreams`() {
+            val entry = start("a")
+            repeat(100) { crash ->
+                val parts = Array(64) { "part-$crash-$it".padEnd(64) }
+                entry.crash("u$crash", *parts)
+                pass(1.seconds)
+            }
+            assertTrue(store.rows.values.all { it.value.length <= 2 * MAX_ROW_CHARS })
+        }
+    }
+
     @Nested
     inner class CallersWhoseRequestsCrashUpstreamsAllTheTime {
         @Test
