--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEffect.kt
@@ -50,6 +50,9 @@
     /** Retains what is known of the crash of [upstream] after all processes have ended. */
     public data class RetainPromptCrash(val upstream: String) : GatewayEffect
 
+    /** Retains what [upstream] announced about itself after all processes have ended. */
+    public data class RetainNotice(val upstream: UpstreamKey) : GatewayEffect
+
     /** Writes a log line. */
     public data class Log(val record: LogRecord) : GatewayEffect
 }
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayEvent.kt
@@ -113,6 +113,10 @@
     public data class UpstreamRatesLearned(val rates: PersistentMap<UpstreamKey, ObservedRate>) :
         GatewayEvent
 
+    /** The store retained what upstreams announced to entries, which may have ended since. */
+    public data class NoticesRetained(val notices: PersistentMap<UpstreamKey, ObservedNotice>) :
+        GatewayEvent
+
     /** Another entry reported which requests wait there, by service. */
     public data class WaitingLearned(
         val entry: InstanceId,
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/GatewayReducer.kt
@@ -29,6 +29,7 @@
         is GatewayEvent.UpstreamNotice -> onUpstreamNotice(event, context)
         is GatewayEvent.UpstreamRateObserved -> onUpstreamRateObserved(event, context)
         is GatewayEvent.UpstreamRatesLearned -> onUpstreamRatesLearned(event.rates, context)
+        is GatewayEvent.NoticesRetained -> onNoticesRetained(event.notices, context)
         is GatewayEvent.WaitingLearned -> onWaitingLearned(event, context)
         is GatewayEvent.RoutesAccepted -> onRoutesAccepted(event.routes, context)
         is GatewayEvent.UpstreamsListed -> onUpstreamsListed(event.upstreams, context)
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/ObservedNotice.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/ObservedNotice.kt
@@ -45,10 +45,35 @@
 ): GatewayStep {
     val left = if (event.isLeaving) markLeaving(setOf(event.upstream), "answer") else Step(this)
     return left.then { it.withPause(event, context) }
+        .then { it.retainNotice(event.upstream, before = notices[event.upstream]) }
         .then { it.resizeQueues(context) }
         .then { it.refusePaused(event.upstream, context) }
 }
 
+private fun GatewayState.retainNotice(key: UpstreamKey, before: ObservedNotice?): GatewayStep =
+    if (notices[key] == before) Step(this) else effect(GatewayEffect.RetainNotice(key))
+
+/** Applies what upstreams announced before this entry started, or to entries that have ended. */
+internal fun GatewayState.onNoticesRetained(
+    retained: PersistentMap<UpstreamKey, ObservedNotice>,
+    context: GatewayContext
+): GatewayStep {
+    val paused = retained.filterValues { it.pausedUntil > context.now }
+    val rates = retained.mapNotNull { (key, notice) -> notice.rate?.let { key to it } }.toMap()
+    return markLeaving(retained.filterValues { it.isLeaving }.keys, "store")
+        .then { it.onUpstreamRatesLearned(rates, context, source = "store") }
+        .then { state ->
+            paused.entries.fold(GatewayStep(state)) { step, (key, notice) ->
+                step.map {
+                    it.withNotice(key) { known ->
+                        known.copy(pausedUntil = maxOf(known.pausedUntil, notice.pausedUntil))
+                    }
+                }
+            }
+        }
+        .then { it.resizeQueues(context) }
+}
+
 private fun GatewayState.withPause(
     event: GatewayEvent.UpstreamNotice,
     context: GatewayContext
--- a/core/src/main/kotlin/org/shallotplank/core/gateway/ObservedRate.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/gateway/ObservedRate.kt
@@ -2,7 +2,6 @@
 
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
-import kotlinx.collections.immutable.PersistentMap
 import org.shallotplank.core.Step
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.logRecord
@@ -29,18 +28,22 @@
     val known = notices[event.upstream]?.rate
     if (known?.requestsPerSecond == null && event.requestsPerSecond == null) return Step(this)
     val observed = ObservedRate(event.requestsPerSecond, context.now)
-    return withRate(event.upstream, observed, source = "answer").then { it.resizeQueues(context) }
+    val step = withRate(event.upstream, observed, source = "answer")
+        .then { it.resizeQueues(context) }
+    if (known?.requestsPerSecond == event.requestsPerSecond) return step
+    return step.then { it.effect(GatewayEffect.RetainNotice(event.upstream)) }
 }
 
 /** Stores what other entries observed later than this one. */
 internal fun GatewayState.onUpstreamRatesLearned(
-    rates: PersistentMap<UpstreamKey, ObservedRate>,
-    context: GatewayContext
+    rates: Map<UpstreamKey, ObservedRate>,
+    context: GatewayContext,
+    source: String = "peer"
 ): GatewayStep = rates.entries.fold(GatewayStep(this)) { step, (key, rate) ->
     step.then { state ->
         val known = state.notices[key]?.rate
         val isLater = known == null || rate.observedAt > known.observedAt
-        if (isLater) state.withRate(key, rate, source = "peer") else Step(state)
+        if (isLater) state.withRate(key, rate, source) else Step(state)
     }
 }.then { it.resizeQueues(context) }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -42,6 +42,7 @@
 import org.shallotplank.gateway.peer.upstreamRateTable
 import org.shallotplank.gateway.peer.waitingTable
 import org.shallotplank.gateway.peer.workTable
+import org.shallotplank.gateway.retention.RetainedNotices
 import org.shallotplank.gateway.retention.RetainedPromptCrashes
 import org.shallotplank.gateway.retention.RetainedRequests
 import org.shallotplank.gateway.retention.RetainedState
@@ -205,7 +206,12 @@
                 RetainedRequests({ exchanges.state.quarantine }, ::onCrashRetained),
                 RetainedPromptCrashes({ exchanges.state.partQuarantine }) {
                     exchanges.emit(GatewayEvent.PromptCrashesLearned(it.toPersistentList()))
-                }
+                },
+                RetainedNotices(
+                    known = { exchanges.state.notices },
+                    isListed = { it in exchanges.state.upstreams },
+                    onLearned = { exchanges.emit(GatewayEvent.NoticesRetained(it)) }
+                )
             ),
             log = log
         )
@@ -218,6 +224,10 @@
             retention.addPromptCrash(upstream)
             writeRetained(clock.now())
         }
+        exchanges.onNotice = { upstream ->
+            retention.addNotice(upstream)
+            writeRetained(clock.now())
+        }
         tables.start(store, scope)
         scope.launch { registration.keep(::entryReplica) { !exchanges.state.isStopping } }
         exchange.start(seeds)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/EffectRunner.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/EffectRunner.kt
@@ -6,6 +6,7 @@
 import org.shallotplank.core.gateway.GatewayEffect
 import org.shallotplank.core.gateway.GatewayEvent
 import org.shallotplank.core.gateway.GatewayState
+import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.core.gateway.acceptsRequests
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.quarantine.CrashRecord
@@ -32,6 +33,7 @@
     private val emit: (GatewayEvent) -> Unit,
     private val onCrash: (CrashRecord) -> Unit,
     private val onPromptCrash: (upstream: String) -> Unit,
+    private val onNotice: (UpstreamKey) -> Unit,
     private val log: (LogRecord) -> Unit
 ) {
     /** Carries out [effect]. */
@@ -45,6 +47,7 @@
             is GatewayEffect.CheckAlive -> checkAlive(effect)
             is GatewayEffect.ShareCrash -> onCrash(effect.record)
             is GatewayEffect.RetainPromptCrash -> onPromptCrash(effect.upstream)
+            is GatewayEffect.RetainNotice -> onNotice(effect.upstream)
             is GatewayEffect.Log -> log(effect.record)
         }
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GatewayExchanges.kt
@@ -84,6 +84,7 @@
         emit = ::emit,
         onCrash = { onCrash(it) },
         onPromptCrash = { onPromptCrash(it) },
+        onNotice = { onNotice(it) },
         log = log
     )
     private val events = ArrayDeque<GatewayEvent>()
@@ -101,6 +102,9 @@
     /** Called with each upstream that crashed with requests whose prompts may be the cause. */
     var onPromptCrash: (upstream: String) -> Unit = {}
 
+    /** Called with each upstream that announced something else about itself than before. */
+    var onNotice: (UpstreamKey) -> Unit = {}
+
     /** The state after the last event. */
     var state = GatewayState(settings.toReducerSettings())
         private set
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedRow.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedRow.kt
@@ -24,6 +24,7 @@
 internal class RetainedRow(
     val requests: List<RetainedRequest> = emptyList(),
     val promptCrashes: List<RetainedPromptCrash> = emptyList(),
+    val notices: List<RetainedNotice> = emptyList(),
     /** When nothing of the row counts any more. */
     val expiresAtMillis: Long? = null
 ) {
@@ -61,6 +62,17 @@
     val establishedParts: List<String> = emptyList()
 )
 
+/** What one incarnation of an upstream announced to an entry, as of [atMillis]. */
+@Serializable
+internal class RetainedNotice(
+    val id: String,
+    val incarnation: Long,
+    val atMillis: Long? = null,
+    val isLeaving: Boolean = false,
+    val pauseLeftMillis: Long? = null,
+    val requestsPerSecond: Double? = null
+)
+
 /**
  * Converts times between the clock of this process and that of the store.
  *
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/retention/StateRetention.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/retention/StateRetention.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.serialization.SerializationException
+import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
@@ -54,6 +55,9 @@
     /** Retains the crash of [upstream], in which this entry lost requests. */
     fun addPromptCrash(upstream: String): Unit = request(state.promptCrashes.add(upstream))
 
+    /** Retains what [upstream] announced to this entry. */
+    fun addNotice(upstream: UpstreamKey): Unit = request(state.notices.add(upstream, clock.now()))
+
     /** Reads the rows of [replica] that have changed. */
     fun read(replica: TableReplica) {
         val rows = (replica.rows + replica.lostRows).filter { it.key.startsWith(KEY_PREFIX) }
@@ -74,7 +78,7 @@
             content.expiresAtMillis?.let { expiresAtMillis[row.key] = it }
             request(state.readOther(row.key, content, times))
         } else if (row.value != written?.value) {
-            state.readOwn(content, times)
+            state.readOwn(content, times, clock.now())
         }
     }
 
@@ -105,6 +109,7 @@
                     LogEvent.GATEWAY_STATE_RETAINED,
                     "requests" to state.requests.records.size,
                     "prompt_crashes" to state.promptCrashes.crashes.size,
+                    "notices" to state.notices.notices(clock.now()).size,
                     "failure" to outcome.leftOrNull()
                 )
             )
@@ -115,12 +120,14 @@
 
     private suspend fun writeOrDelete(replica: TableReplica): Either<StoreFailure, Unit> {
         val expected = replica.revisionOf(ownKey)
-        if (state.isEmpty) {
+        val now = clock.now()
+        if (state.isEmpty(now)) {
+            state.toRow(times(), now)
             written = null
             if (expected.version == 0L) return Unit.right()
             return store.delete(table, ownKey, expected)
         }
-        val value = state.toRow(times()).encode()
+        val value = state.toRow(times(), now).encode()
         return store.write(table, ownKey, value, expected).map { written = WrittenRow(value, it) }
     }
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/retention/StateRetentionTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/retention/StateRetentionTest.kt
@@ -11,11 +11,16 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 import org.shallotplank.core.AttemptId
 import org.shallotplank.core.CustomerName
+import org.shallotplank.core.InstanceId
+import org.shallotplank.core.gateway.ObservedNotice
+import org.shallotplank.core.gateway.ObservedRate
+import org.shallotplank.core.gateway.UpstreamKey
 import org.shallotplank.core.quarantine.PartQuarantine
 import org.shallotplank.core.quarantine.PromptCrash
 import org.shallotplank.core.quarantine.PromptPart
@@ -26,6 +31,7 @@
 /** Guards against knowledge of crashing requests that ends with the processes (BUDGET). */
 class StateRetentionTest {
     private val store = FaultyTable()
+    private val listed = mutableSetOf<UpstreamKey>()
     private val running = LinkedHashMap<String, Entry>()
     private var lives = 0
 
@@ -37,6 +43,7 @@
         }
         var quarantine = Quarantine()
         var partQuarantine = PartQuarantine()
+        var notices = persistentMapOf<UpstreamKey, ObservedNotice>()
         private val seen = store.client(clock)
         private val retention = StateRetention(
             instance = name,
@@ -47,6 +54,9 @@
                 RetainedRequests({ quarantine }) { quarantine = quarantine.merge(it) },
                 RetainedPromptCrashes({ partQuarantine }) { crashes ->
                     partQuarantine = crashes.fold(partQuarantine, PartQuarantine::merge)
+                },
+                RetainedNotices({ notices }, isListed = { it in listed }) {
+                    notices = notices.putAll(it)
                 }
             ),
             log = {}
@@ -75,6 +85,15 @@
             retention.addPromptCrash(upstream)
         }
 
+        /** Gets an answer of [upstream] with [notice]. */
+        fun announce(upstream: UpstreamKey, notice: (now: Instant) -> ObservedNotice) {
+            notices = notices.put(upstream, notice(clock.now()))
+            retention.addNotice(upstream)
+        }
+
+        fun pauseLeft(upstream: UpstreamKey): Duration =
+            notices[upstream]?.pausedUntil?.minus(clock.now()) ?: Duration.ZERO
+
         fun answer(vararg parts: String) {
             val answered = parts.map(::PromptPart).toSet()
             partQuarantine = partQuarantine.answered(answered, clock.now())
@@ -332,6 +351,70 @@
         }
     }
 
+    /** Guards against requests that upstreams had asked not to get, after all processes ended. */
+    @Nested
+    inner class ANoticeOfAnUpstream {
+        private val upstream = UpstreamKey(InstanceId("u"), 1).also { listed += it }
+
+        @Test
+        fun `that it leaves, or takes only so many requests, holds at all entries`() {
+            start("a").announce(upstream) {
+                ObservedNotice(isLeaving = true, rate = ObservedRate(1.7, it))
+            }
+            pass(200.milliseconds)
+            killAll()
+            val later = start("b")
+            pass(200.milliseconds)
+            val notice = later.notices.getValue(upstream)
+            assertTrue(notice.isLeaving)
+            assertEquals(1.7, notice.rate?.requestsPerSecond)
+        }
+
+        @Test
+        fun `for a pause holds until its end, at the entry that was asked`() {
+            start("a").announce(upstream) { ObservedNotice(pausedUntil = it + 60.seconds) }
+            pass(10.seconds)
+            killAll()
+            store.clockShift = (-1).hours
+            val asked = start("a")
+            val other = start("b")
+            pass(200.milliseconds)
+            assertTrue(asked.pauseLeft(upstream) > 40.seconds)
+            assertTrue(asked.pauseLeft(upstream) <= 60.seconds)
+            assertTrue(other.pauseLeft(upstream) <= Duration.ZERO)
+        }
+
+        @Test
+        fun `of a limit that it lifted is gone from the store`() {
+            val entry = start("a")
+            entry.announce(upstream) { ObservedNotice(rate = ObservedRate(1.7, it)) }
+            pass(200.milliseconds)
+            assertEquals(1, store.rows.size)
+            entry.announce(upstream) { ObservedNotice(rate = ObservedRate(null, it)) }
+            pass(7.seconds)
+            assertEquals(emptySet(), store.rows.keys)
+        }
+
+        @Test
+        fun `that each answer repeats is written once`() {
+            val entry = start("a")
+            repeat(100) {
+                entry.announce(upstream) { ObservedNotice(rate = ObservedRate(1.7, it)) }
+                pass(200.milliseconds)
+            }
+            assertEquals(1, store.writeCount)
+        }
+
+        @Test
+        fun `is forgotten a while after it is no longer listed`() {
+            start("a").announce(upstream) { ObservedNotice(isLeaving = true) }
+            pass(200.milliseconds)
+            listed -= upstream
+            pass(70.seconds)
+            assertEquals(emptySet(), store.rows.keys)
+        }
+    }
+
     @Nested
     inner class CallersWhoseRequestsCrashUpstreamsAllTheTime {
         @Test
