--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -48,6 +48,7 @@
 import org.shallotplank.gateway.retention.RetainedState
 import org.shallotplank.gateway.retention.StateRetention
 import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.StoreContact
 import org.shallotplank.gateway.store.StoreRow
 import org.shallotplank.gateway.store.TableReplica
 import org.shallotplank.gateway.where.EntryContact
@@ -102,6 +103,7 @@
         schema = schema,
         clock = clock,
         random = environment.random,
+        contact = StoreContact(clock, rewriteGrace),
         isHub = ::isHub,
         entryCount = { entryLocations.size },
         isAfterLastSuspension = keeping::isAfterLastSuspension,
@@ -248,8 +250,8 @@
 
     /** Expires missing upstreams and crashes, updates readiness and advances the keepers. */
     fun tick(now: Instant) {
-        if (upstreams.expire(now)) emitUpstreams()
-        tables.forgetLostRows(now, rewriteGrace)
+        expireUpstreams(now)
+        tables.forgetLostRows()
         crashes.expire(now)
         updateReadiness(now)
         exchange.tick(now)
@@ -276,6 +278,11 @@
         if (isFirst) scope.launch { retention.deleteExpired(entryReplica()) }
     }
 
+    private fun expireUpstreams(now: Instant) {
+        val confirmedAt = tables[schema.upstreamTable].confirmedAt
+        if (upstreams.expire(now, tables.returnedAt, confirmedAt)) emitUpstreams()
+    }
+
     private fun registeredIncarnation(instance: String): Long? =
         entryReplica().row(Registration.keyOf(instance))?.let { decodeRow(it.value)?.incarnation }
 
@@ -332,7 +339,7 @@
         when (table) {
             schema.operatorTable -> onOperatorRows(replica)
             schema.upstreamTable -> {
-                upstreams.update(replica, tables[table].returnedAt, clock.now())
+                upstreams.update(replica, tables.returnedAt, clock.now())
                 emitUpstreams()
             }
             schema.entryTable -> {
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ObservedUpstreams.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ObservedUpstreams.kt
@@ -75,10 +75,20 @@
         departedAt.values.removeAll { now - it > DEPARTURE_MEMORY }
     }
 
-    /** Ends what holds for a time after a return of the store; returns whether the list changed. */
-    fun expire(now: Instant): Boolean {
+    /**
+     * Ends what holds for a time after a return of the store; returns whether the list changed.
+     *
+     * @param returnedAt end of the last outage; upstreams that are missing since an earlier one
+     *   have the whole grace again.
+     * @param confirmedAt the copy of the table has all changes until then.
+     */
+    fun expire(
+        now: Instant,
+        returnedAt: Instant = Instant.DISTANT_PAST,
+        confirmedAt: Instant = now
+    ): Boolean {
         val isRestored = listRestored(now)
-        return expireMissing(now) || isRestored
+        return expireMissing(now, returnedAt, confirmedAt) || isRestored
     }
 
     /** Lists upstreams whose rows would have been removed again if they had not registered. */
@@ -91,9 +101,10 @@
         return restoredAt.keys.removeAll(kept)
     }
 
-    private fun expireMissing(now: Instant): Boolean {
+    private fun expireMissing(now: Instant, returnedAt: Instant, confirmedAt: Instant): Boolean {
         val expired = missing.filterValues { entry ->
-            entry.missingSince?.let { now - it >= returnGrace } ?: true
+            val since = maxOf(returnedAt, entry.missingSince ?: Instant.DISTANT_PAST)
+            confirmedAt - since >= returnGrace
         }
         expired.values.forEach { departedAt[it.record.key] = now }
         return missing.keys.removeAll(expired.keys)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/StoreTables.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/StoreTables.kt
@@ -17,10 +17,12 @@
 import org.shallotplank.gateway.peer.SuppliedTable
 import org.shallotplank.gateway.peer.TableCopy
 import org.shallotplank.gateway.peer.reportedVersions
+import org.shallotplank.gateway.peer.returnedAge
 import org.shallotplank.gateway.peer.revisionOf
 import org.shallotplank.gateway.peer.supplied
 import org.shallotplank.gateway.store.FollowSettings
 import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.StoreContact
 import org.shallotplank.gateway.store.StoreRevision
 import org.shallotplank.gateway.store.TableContents
 import org.shallotplank.gateway.store.TableFollower
@@ -33,6 +35,7 @@
  * They come from the store; from a hub, while it has recently reached the store; or from any other
  * entry, while the store does not answer.
  *
+ * @param contact when the store could be reached.
  * @param isHub whether this entry supplies others.
  * @param entryCount number of registered entries.
  * @param isAfterLastSuspension whether this entry's clock ran since an instant.
@@ -44,6 +47,7 @@
     private val schema: StoreSchema,
     private val clock: Clock,
     private val random: Random,
+    private val contact: StoreContact,
     private val isHub: () -> Boolean,
     private val entryCount: () -> Int,
     private val isAfterLastSuspension: (Instant) -> Boolean,
@@ -64,6 +68,9 @@
     /** When the store last answered for any table; null before [start]. */
     val answeredAt: Instant? get() = followers.values.maxOfOrNull { it.answeredAt }
 
+    /** When the store last returned from an outage or was restored. */
+    val returnedAt: Instant get() = contact.returnedAt
+
     /** Whether each table has been read at least once. */
     val isComplete: Boolean get() = followers.values.all { it.replica.isRead }
 
@@ -75,7 +82,10 @@
 
     /** Versions of the copies as reports carry them. */
     val versions: Map<String, Long>
-        get() = reportedVersions(followers.mapValues { (_, it) -> it.replica.revision })
+        get() = reportedVersions(
+            revisions = followers.mapValues { (_, it) -> it.replica.revision },
+            returnedAge = (clock.now() - contact.returnedAt).takeIf { it < REPORTED_RETURN_AGE }
+        )
 
     /** The follower of [table]. */
     operator fun get(table: String): TableFollower = followers.getValue(table)
@@ -108,9 +118,11 @@
                 clock = clock,
                 random = random,
                 log = log,
+                contact = contact,
                 onContact = { replica, isChanged -> onContact(follow.table, replica, isChanged) }
             )
         }
+        contact.onAnswersAgain = { since -> followers.values.forEach { it.abandonCall(since) } }
         followers.values.forEach { follower -> scope.launch { follower.run() } }
     }
 
@@ -120,11 +132,16 @@
     /** Reads all tables from the store itself, as after a suspension. */
     fun readAgain(): Unit = followers.values.forEach { it.endSupply() }
 
-    /** Forgets at [now] the rows that a restored store lost and nobody wrote within [grace]. */
-    fun forgetLostRows(now: Instant, grace: Duration) {
+    /** Whether the copy of [table] shows which rows were not written again after a return. */
+    fun isGraceOver(table: String): Boolean = isGraceOver(this[table])
+
+    private fun isGraceOver(follower: TableFollower): Boolean =
+        follower.confirmedAt >= contact.graceEndsAt
+
+    /** Forgets the rows that a restored store lost and nobody wrote within the grace. */
+    fun forgetLostRows() {
         for ((table, follower) in followers) {
-            val isGraceOver = now - follower.returnedAt >= grace
-            if (isGraceOver && follower.replica.forgetLostRows()) {
+            if (isGraceOver(follower) && follower.replica.forgetLostRows()) {
                 onContact(table, follower.replica, true)
             }
         }
@@ -140,12 +157,20 @@
 
     /** Takes over the newer tables that [report] offers while the store does not answer. */
     suspend fun adopt(report: PeerReport, client: HttpClient) {
+        val returnedAge = report.returnedAge
         for ((table, follower) in followers) {
             val offered = report.revisionOf(table) ?: continue
             val isAnswered = clock.now() - follower.answeredAt < STALENESS_BOUND
-            if (!isAnswered && offered > follower.replica.revision) {
+            if (isAnswered) continue
+            // Before the copy: rows that expired in an outage are not taken for departures.
+            returnedAge?.let { contact.onSupplierReturned(clock.now() - it) }
+            if (offered > follower.replica.revision) {
                 adopt(follower, table, offered.era, report.instance, client)
             }
+            val isGraceOver = returnedAge != null && returnedAge >= contact.rewriteGrace
+            if (isGraceOver && follower.replica.revision >= offered) {
+                follower.confirm(contact.graceEndsAt)
+            }
         }
     }
 
@@ -173,7 +198,7 @@
                 version = follower.replica.revision.version,
                 // Rounded up, so that no copy seems more recent than it is.
                 contactAgeMillis = (now - follower.answeredAt).inWholeMilliseconds + 1,
-                returnedAgeMillis = follower.returnedAt.takeIf { it > Instant.DISTANT_PAST }
+                returnedAgeMillis = contact.returnedAt.takeIf { it > Instant.DISTANT_PAST }
                     ?.let { (now - it).inWholeMilliseconds },
                 batches = follower.changeLog.batches.map { it.supplied() }
             )
@@ -192,7 +217,7 @@
         val contactAt = sentAt - table.contactAgeMillis.milliseconds
         if (clock.now() - contactAt >= STALENESS_BOUND) return
         // Before the changes: rows that expired in an outage are not taken for departures.
-        table.returnedAgeMillis?.let { follower.onSupplierReturned(sentAt - it.milliseconds) }
+        table.returnedAgeMillis?.let { contact.onSupplierReturned(sentAt - it.milliseconds) }
         if (!reach(follower, table, hub) || clock.now() - contactAt >= STALENESS_BOUND) return
         follower.onSupplied(
             contactAt = contactAt,
@@ -231,8 +256,10 @@
          * A change has to be in force within 2 s, or within 5 s if the connection was silent; the
          * client closes a connection without an answer soon after this wait.
          */
-        val OPERATOR_WAIT = 1_600.milliseconds
         val UPSTREAM_WAIT = 1_600.milliseconds
+
+        /** Short, since answers to these calls, which follow each other, show an outage first. */
+        val OPERATOR_WAIT = 800.milliseconds
         val MIN_UPSTREAM_POLL_INTERVAL = 300.milliseconds
 
         /** Limits the total call rate of the entries for a table that changes continuously. */
@@ -255,6 +282,9 @@
         /** An interval of exchanges and some time for the answer. */
         val SUPPLY_TIME = 600.milliseconds
 
+        /** Entries that reach the store later than others learn its return from their reports. */
+        val REPORTED_RETURN_AGE = 10.seconds
+
         /** Age of the last store contact above which newer tables are fetched from peers. */
         val STALENESS_BOUND = 2_000.milliseconds
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
@@ -8,7 +8,11 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import org.shallotplank.core.log.LogEvent
 import org.shallotplank.core.log.LogRecord
 import org.shallotplank.core.log.logRecord
@@ -36,6 +40,7 @@
     private val clock: Clock,
     private val random: Random,
     private val log: (LogRecord) -> Unit,
+    private val contact: StoreContact = StoreContact(clock),
     private val onContact: (TableReplica, isChanged: Boolean) -> Unit
 ) {
     public val replica: TableReplica = TableReplica()
@@ -44,8 +49,8 @@
     public var answeredAt: Instant = Instant.DISTANT_PAST
         private set
 
-    /** When the store last answered after one or more failed calls or after it was restored. */
-    public var returnedAt: Instant = Instant.DISTANT_PAST
+    /** The copy has all changes until then; later than [answeredAt], but not exact. */
+    public var confirmedAt: Instant = Instant.DISTANT_PAST
         private set
 
     /** The latest changes, for entries that take them from this one. */
@@ -56,6 +61,9 @@
 
     private var failures = 0
     private var mustReadWhole = true
+    private var openCall: OpenCall? = null
+
+    private class OpenCall(val startedAt: Instant, val job: Job)
 
     /** Number of whole reads since the last answer with changes. */
     private var wholeReads = 0
@@ -78,12 +86,33 @@
 
     private suspend fun pollOnce() {
         val startedAt = clock.now()
-        when (val outcome = poll()) {
-            is Either.Left -> onFailure(outcome.value)
+        when (val outcome = pollUnlessAbandoned(startedAt)) {
+            is Either.Left -> onFailure(outcome.value, startedAt)
             is Either.Right -> onAnswer(startedAt, outcome.value)
+            null -> Unit
         }
     }
 
+    /** Returns null if [abandonCall] ended the call. */
+    private suspend fun pollUnlessAbandoned(startedAt: Instant): Either<StoreFailure, Boolean>? =
+        coroutineScope {
+            val call = async { poll() }
+            openCall = OpenCall(startedAt, call)
+            try {
+                call.await()
+            } catch (_: CancellationException) {
+                ensureActive()
+                null
+            } finally {
+                openCall = null
+            }
+        }
+
+    /** Calls again at once if the open call began before [since], when it may have been lost. */
+    public fun abandonCall(since: Instant) {
+        openCall?.takeIf { it.startedAt < since }?.job?.cancel()
+    }
+
     /** Replaces the copy with [contents] from the process [source] if those are newer. */
     public fun adopt(contents: TableContents, source: String) {
         if (contents.revision <= replica.revision) return
@@ -107,14 +136,28 @@
             replace(contents)
         }
     } else {
-        val wait = settings.shorterWait() ?: settings.wait
         val since = replica.revision
-        store.changes(settings.table, since, wait).map { changes ->
+        store.changes(settings.table, since, waitTime()).map { changes ->
             wholeReads = 0
             apply(ChangeBatch(since, changes))
         }
     }
 
+    /**
+     * How long a call may wait for changes.
+     *
+     * Not at all while calls fail, so that the return of the store is noticed soon. During a grace
+     * until its end, since an answer from then on shows which rows were not written again.
+     */
+    private fun waitTime(): Duration {
+        val usual = settings.shorterWait() ?: settings.wait
+        return when {
+            failures > 0 -> Duration.ZERO
+            answeredAt >= contact.graceEndsAt -> usual
+            else -> (contact.graceEndsAt - clock.now()).coerceIn(Duration.ZERO, usual)
+        }
+    }
+
     /** Applies [batches], those that another entry has read; returns whether they fit. */
     public fun apply(batches: List<ChangeBatch>): Boolean {
         var isChanged = false
@@ -133,17 +176,18 @@
      * Records that another entry supplies the table until [until].
      *
      * @param contactAt start of a call that the store answered that entry; this copy is as recent.
-     * @param supplierReturnedAt see [returnedAt].
      */
     public fun onSupplied(contactAt: Instant, until: Instant) {
         suppliedUntil = until
         answeredAt = maxOf(answeredAt, contactAt)
+        confirm(contactAt)
+        contact.onAnswer(contactAt)
         onRegained()
     }
 
-    /** Records when the process that supplies the copy found the store answering again. */
-    public fun onSupplierReturned(at: Instant) {
-        returnedAt = maxOf(returnedAt, at)
+    /** Records that the copy has all changes until [at]. */
+    public fun confirm(at: Instant) {
+        confirmedAt = maxOf(confirmedAt, at)
     }
 
     /** Reads from the store again at once, such as after a suspension. */
@@ -160,8 +204,8 @@
 
     private fun replace(contents: TableContents): Boolean {
         if (contents.revision > replica.revision) changeLog.clear()
+        contact.onEra(contents.revision.era)
         if (replica.isRead && contents.revision.era > replica.revision.era) {
-            returnedAt = clock.now()
             val record = logRecord(
                 LogEvent.STORE_RESTORED,
                 "table" to settings.table,
@@ -185,21 +229,23 @@
 
     private suspend fun onAnswer(startedAt: Instant, isChanged: Boolean) {
         answeredAt = maxOf(answeredAt, startedAt)
+        confirm(clock.now())
+        contact.onAnswer()
         onRegained()
         onContact(replica, isChanged)
-        val elapsed = clock.now() - startedAt
-        val minInterval = settings.minInterval()
-        if (elapsed < minInterval) delay(minInterval - elapsed)
+        val now = clock.now()
+        val untilNext = settings.minInterval() - (now - startedAt)
+        val untilGraceEnds = (contact.graceEndsAt - now).takeIf { it.isPositive() }
+        delay(untilGraceEnds?.let { minOf(untilNext, it) } ?: untilNext)
     }
 
     private fun onRegained() {
         if (failures == 0) return
         log(logRecord(LogEvent.STORE_REGAINED, "table" to settings.table, "after" to failures))
         failures = 0
-        returnedAt = clock.now()
     }
 
-    private suspend fun onFailure(failure: StoreFailure) {
+    private suspend fun onFailure(failure: StoreFailure, startedAt: Instant) {
         if (failure == StoreFailure.HistoryGone && !mustReadWhole) {
             mustReadWhole = true
             if (wholeReads > 1) delay(backoff(wholeReads))
@@ -215,7 +261,9 @@
             log(record)
         }
         failures++
-        delay(backoff(failures))
+        contact.onFailure()
+        // A call that timed out has taken its time already.
+        delay(backoff(failures) - (clock.now() - startedAt))
     }
 
     private fun backoff(attempts: Int): Duration {
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/SuppliedStoreTablesTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/SuppliedStoreTablesTest.kt
@@ -32,6 +32,7 @@
 import org.shallotplank.gateway.peer.SuppliedRow
 import org.shallotplank.gateway.peer.SuppliedTable
 import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.StoreContact
 import org.shallotplank.gateway.store.StoreRevision
 
 /** Guards against a member that takes a hub's copies for more than they are. */
@@ -65,6 +66,7 @@
         ),
         clock = clock,
         random = Random(1),
+        contact = StoreContact(clock),
         isHub = { false },
         entryCount = { 70 },
         isAfterLastSuspension = { true },
@@ -78,7 +80,7 @@
 
     private fun onContact(table: String, replica: Any, isChanged: Boolean) {
         if (isChanged && replica === tables[table].replica) {
-            returnedAtChange += tables[table].returnedAt
+            returnedAtChange += tables.returnedAt
         }
     }
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/SuppliedTableTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/SuppliedTableTest.kt
@@ -15,6 +15,7 @@
 import org.shallotplank.gateway.store.ChangeBatch
 import org.shallotplank.gateway.store.FollowSettings
 import org.shallotplank.gateway.store.RowChange
+import org.shallotplank.gateway.store.StoreContact
 import org.shallotplank.gateway.store.StoreRevision
 import org.shallotplank.gateway.store.StoreRow
 import org.shallotplank.gateway.store.TableChanges
@@ -28,12 +29,15 @@
         override fun now(): Instant = now
     }
 
+    private val contact = StoreContact(clock)
+
     private fun follower(version: Long, vararg rows: StoreRow, era: Long = 1) = TableFollower(
         settings = FollowSettings("t", wait = 1.seconds),
         store = SharedTables(),
         clock = clock,
         random = Random(1),
         log = {},
+        contact = contact,
         onContact = { _, _ -> }
     ).apply { adopt(TableContents(rows.toList(), revision(version, era)), "test") }
 
@@ -113,13 +117,13 @@
         @Test
         fun `is as recent as the hub's contact, not as the answer`() {
             val member = follower(2, kept)
-            member.onSupplierReturned(Instant.DISTANT_PAST)
+            contact.onSupplierReturned(Instant.DISTANT_PAST)
             member.onSupplied(now - 700.milliseconds, now + 1.seconds)
             assertEquals(now - 700.milliseconds, member.answeredAt)
-            member.onSupplierReturned(now - 1.seconds)
+            contact.onSupplierReturned(now - 1.seconds)
             member.onSupplied(now - 900.milliseconds, now + 1.seconds)
             assertEquals(now - 700.milliseconds, member.answeredAt)
-            assertEquals(now - 1.seconds, member.returnedAt)
+            assertEquals(now - 1.seconds, contact.returnedAt)
         }
     }
 }
