--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
@@ -22,8 +22,10 @@
 import org.shallotplank.core.Address
 import org.shallotplank.core.gateway.ConnectFailure
 import org.shallotplank.core.gateway.UpstreamKey
+import org.shallotplank.gateway.http.ContentMerger
 import org.shallotplank.gateway.http.EndOfInputHandler
 import org.shallotplank.gateway.http.InvalidHeadHandler
+import org.shallotplank.gateway.http.fairReads
 
 /** The upstream incarnation and address that a connection is opened to. */
 internal data class UpstreamTarget(val key: UpstreamKey, val address: Address)
@@ -113,6 +115,7 @@
                 .addLast(HttpClientCodec())
                 .addLast(EndOfInputHandler())
                 .addLast(InvalidHeadHandler())
+                .addLast(ContentMerger())
                 .addLast(created)
         }.connect(InetSocketAddress(target.address.host, target.address.port))
         future.addListener(
@@ -149,6 +152,7 @@
         .group(group)
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, fairReads())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
         .handler(
             object : ChannelInitializer<SocketChannel>() {
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadStandIns.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadStandIns.kt
@@ -21,15 +21,21 @@
 import org.shallotplank.integrationtest.anyLoopbackPort
 import org.shallotplank.integrationtest.startServer
 
-/** Stand-in for the platform's store that holds one configuration and one upstream. */
-internal class FixedStore(configuration: String, upstream: Address) : AutoCloseable {
+/**
+ * Stand-in for the platform's store that holds one configuration, one upstream of the service `s`
+ * and those of the service `f` at [others].
+ */
+internal class FixedStore(
+    configuration: String,
+    upstream: Address,
+    others: List<Address> = emptyList()
+) : AutoCloseable {
     private val rowsByTable = mapOf(
         "op" to row("config", configuration),
-        "servers" to row(
-            "upstream",
-            """{"service":"s","zone":"a","addr":"$upstream","slots":$UPSTREAM_SLOTS,""" +
-                """"state":"ready"}"""
-        )
+        "servers" to (
+            listOf(upstreamRow("upstream", "s", upstream)) +
+                others.mapIndexed { index, it -> upstreamRow("other$index", "f", it) }
+            ).joinToString(",")
     )
     private val server = startServer(anyLoopbackPort) {
         get("/rows-get") { answer(rowsByTable[call.request.queryParameters["table"]].orEmpty()) }
@@ -52,6 +58,12 @@
         call.respondText("""{"rows":[$rows],"ver":1,"now_ms":0}""", ContentType.Application.Json)
     }
 
+    private fun upstreamRow(id: String, service: String, address: Address) = row(
+        id,
+        """{"service":"$service","zone":"a","addr":"$address","slots":$UPSTREAM_SLOTS,""" +
+            """"state":"ready"}"""
+    )
+
     private fun row(key: String, value: String): String {
         val encoded = Base64.getEncoder().encodeToString(value.toByteArray())
         return """{"key":"$key","value":"$encoded","ver":1}"""
@@ -136,3 +148,60 @@
         const val LONG_BYTES = 8 * 1_048_576
     }
 }
+
+/** Passes connections on to [store], but those that ask for changes of a table to [changes]. */
+internal class ChangesProxy(private val store: Address, private val changes: Address) :
+    AutoCloseable {
+    private val listening = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val sockets = CopyOnWriteArrayList<Socket>()
+
+    val address = Address("127.0.0.1", listening.localPort)
+
+    init {
+        thread(isDaemon = true) {
+            try {
+                while (true) listening.accept().also { sockets += it }.let(::passOnInThread)
+            } catch (_: IOException) {
+                // The test has ended.
+            }
+        }
+    }
+
+    override fun close() {
+        listening.close()
+        sockets.forEach { it.close() }
+    }
+
+    private fun passOnInThread(caller: Socket) {
+        thread(isDaemon = true) {
+            try {
+                passOn(caller)
+            } catch (_: IOException) {
+                caller.close()
+            }
+        }
+    }
+
+    /** Each request opens a connection of its own, so that its first bytes decide. */
+    private fun passOn(caller: Socket) {
+        val buffer = ByteArray(BUFFER_BYTES)
+        while (true) {
+            val count = caller.getInputStream().read(buffer)
+            if (count < 0) break
+            val request = String(buffer, 0, count)
+            val target = if ("/rows-feed" in request) changes else store
+            Socket(target.host, target.port).use { upstream ->
+                sockets += upstream
+                val closing = request.replaceFirst("\r\n", "\r\nConnection: close\r\n")
+                upstream.getOutputStream().write(closing.toByteArray())
+                upstream.getInputStream().copyTo(caller.getOutputStream())
+            }
+        }
+        caller.close()
+    }
+
+    private companion object {
+        const val BACKLOG = 64
+        const val BUFFER_BYTES = 65_536
+    }
+}
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadedProcess.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadedProcess.kt
@@ -103,17 +103,30 @@
     }
 }
 
-/** A gateway entry in front of [SigningUpstream]; [idleTimeout] is that of its limits. */
-internal class LoadedEntry(testName: String, longBytes: Int, idleTimeout: Duration) :
-    LoadedProcess(
-        testName = testName,
-        role = "gateway",
-        memoryOptions = listOf("-Xmx40m", "-XX:MaxDirectMemorySize=16m"),
-        maxResidentMegabytes = 170,
-        maxDescriptors = MAX_CONNECTIONS + 60
-    ) {
+/**
+ * A gateway entry in front of [SigningUpstream]; [idleTimeout] is that of its limits.
+ *
+ * @param flooding upstreams of the paths `/flood/` and `/flood-stream/`.
+ * @param seeds addresses that the entry takes for those of other entries.
+ * @param floodedChanges where calls to the store for changes are passed on to, null for none.
+ */
+internal class LoadedEntry(
+    testName: String,
+    longBytes: Int,
+    idleTimeout: Duration,
+    private val flooding: List<Address> = emptyList(),
+    seeds: List<Address> = emptyList(),
+    floodedChanges: Address? = null
+) : LoadedProcess(
+    testName = testName,
+    role = "gateway",
+    memoryOptions = listOf("-Xmx40m", "-XX:MaxDirectMemorySize=16m"),
+    maxResidentMegabytes = 170,
+    maxDescriptors = MAX_CONNECTIONS + 60
+) {
     private val upstream = SigningUpstream(longBytes)
-    private val store = FixedStore(configuration(idleTimeout), upstream.address)
+    private val store = FixedStore(configuration(idleTimeout), upstream.address, flooding)
+    private val storeProxy = floodedChanges?.let { ChangesProxy(store.address, it) }
     val callers = LoopbackAddresses.reserve()
     val readiness = LoopbackAddresses.reserve()
 
@@ -126,9 +139,9 @@
             readiness_address = "$readiness"
             directory_address = "${LoopbackAddresses.reserve()}"
             peer_address = "${LoopbackAddresses.reserve()}"
-            store_address = "${store.address}"
+            store_address = "${storeProxy?.address ?: store.address}"
             metrics_port = ${LoopbackAddresses.reserve().port}
-            seed_addresses = []
+            seed_addresses = [${seeds.joinToString(",") { "\"$it\"" }}]
             max_connections = $MAX_CONNECTIONS
             stop_grace_seconds = 1
             entry_list_ttl_seconds = 2
@@ -151,17 +164,26 @@
 
     override fun close() {
         super.close()
+        storeProxy?.close()
         store.close()
         upstream.close()
     }
 
     private fun configuration(idleTimeout: Duration): String =
         """{"version":1,"routes":[{"name":"r","host":"h.example","prefix":"/s/","kind":"safe",""" +
-            """"service":"s","timeout_ms":30000,"goal_ms":20000}],""" +
-            """"services":[{"name":"s"}],""" +
+            """"service":"s","timeout_ms":30000,"goal_ms":20000}${floodRoutes()}],""" +
+            """"services":[{"name":"s"}${if (flooding.isEmpty()) "" else ",{\"name\":\"f\"}"}],""" +
             """"limits":{"max_body_bytes":$MAX_BODY_BYTES,"max_header_bytes":16384,""" +
             """"header_timeout_ms":3000,"idle_timeout_ms":${idleTimeout.inWholeMilliseconds}}}"""
 
+    private fun floodRoutes(): String {
+        if (flooding.isEmpty()) return ""
+        return listOf("flood" to "unsafe", "flood-stream" to "stream").joinToString("") {
+            """,{"name":"${it.first}","host":"h.example","prefix":"/${it.first}/",""" +
+                """"kind":"${it.second}","service":"f","timeout_ms":30000,"goal_ms":20000}"""
+        }
+    }
+
     companion object {
         const val MAX_BODY_BYTES = 1_048_576
         const val MAX_CONNECTIONS = 200
