--- a/bench/src/main/kotlin/org/shallotplank/bench/decisions/SimulatedEntry.kt
+++ b/bench/src/main/kotlin/org/shallotplank/bench/decisions/SimulatedEntry.kt
@@ -153,7 +153,8 @@
             is GatewayEffect.Refuse -> open.remove(effect.requestId)
                 ?.answer?.onRefused(effect.status, effect.retryAfter)
             is GatewayEffect.Cut -> open.remove(effect.requestId)?.answer?.onCut()
-            is GatewayEffect.CheckAlive, is GatewayEffect.ShareCrash, is GatewayEffect.Log -> Unit
+            is GatewayEffect.CheckAlive, is GatewayEffect.ShareCrash, is GatewayEffect.Log,
+            is GatewayEffect.RetainNotice, is GatewayEffect.RetainPromptCrash -> Unit
         }
     }
 
