--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
 import java.net.InetSocketAddress
@@ -98,7 +97,7 @@
         override fun initChannel(created: SocketChannel) {
             val counter = memory?.let(::MessageCounter)
             created.pipeline()
-                .addLast(HttpClientCodec())
+                .addLast(answerCodec())
                 .addLast(EndOfInputHandler())
                 .addLast(InvalidHeadHandler())
             counter?.let { created.pipeline().addLast(it) }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
@@ -14,7 +14,6 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
 import kotlin.time.Clock
@@ -25,6 +24,7 @@
 import org.shallotplank.gateway.http.ContentMerger
 import org.shallotplank.gateway.http.EndOfInputHandler
 import org.shallotplank.gateway.http.InvalidHeadHandler
+import org.shallotplank.gateway.http.answerCodec
 import org.shallotplank.gateway.http.fairReads
 
 /** The upstream incarnation and address that a connection is opened to. */
@@ -112,7 +112,7 @@
             connection = created
             channel.pipeline()
                 .addLast(UnsolicitedBytesHandler(created))
-                .addLast(HttpClientCodec())
+                .addLast(answerCodec())
                 .addLast(EndOfInputHandler())
                 .addLast(InvalidHeadHandler())
                 .addLast(ContentMerger())
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/TroubledUpstreamTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/TroubledUpstreamTest.kt
@@ -85,6 +85,17 @@
             assertEndsTheAttempt(only)
         }
 
+        /** The fields of a head take far more memory than it has bytes. */
+        @Test
+        fun `in short fields of a complete head end the attempt`() {
+            val fields = "a:b\r\n".repeat(SHORT_FIELDS)
+            val only = upstream { request, socket ->
+                socket.send(answer(request, extra = fields))
+            }
+            val reply = gateway(only).exchange(request("unsafe"))
+            assertTrue(reply.startsWith("HTTP/1.1 502"), reply.take(200))
+        }
+
         @Test
         fun `in a response head end the attempt`() {
             val only = flooding(head = { "HTTP/1.1 200 OK\r\n" }, piece = "X-More: and more\r\n")
@@ -215,6 +226,9 @@
     }
 
     private companion object {
+        /** More than any genuine head has, in a head that is short enough for the decoder. */
+        const val SHORT_FIELDS = 1_000
+
         /** Few writes, so that a busy machine exceeds the limit before the route's timeout. */
         const val LINES = 100
 
