--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/HttpClient.kt
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -97,7 +98,10 @@
         override fun initChannel(created: SocketChannel) {
             val counter = memory?.let(::MessageCounter)
             created.pipeline()
+                .addLast(UnsolicitedBytesHandler { onReply != null })
                 .addLast(answerCodec())
+                // What came with the end of a reply has been decoded before the connection closes.
+                .addLast(UnsolicitedBytesHandler { onReply != null })
                 .addLast(EndOfInputHandler())
                 .addLast(InvalidHeadHandler())
             counter?.let { created.pipeline().addLast(it) }
@@ -112,7 +116,9 @@
         override fun channelRead0(context: ChannelHandlerContext, message: FullHttpResponse) {
             freeWhenDecoded(context)
             if (context.channel() !== channel) return
-            if (message.decoderResult().isFailure) {
+            // Calls have no use for interim answers, which a peer could send without end.
+            val isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
+            if (message.decoderResult().isFailure || isInterim || onReply == null) {
                 context.close()
                 return
             }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/upstream/UpstreamPool.kt
@@ -6,15 +6,12 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
@@ -24,6 +21,7 @@
 import org.shallotplank.gateway.http.ContentMerger
 import org.shallotplank.gateway.http.EndOfInputHandler
 import org.shallotplank.gateway.http.InvalidHeadHandler
+import org.shallotplank.gateway.http.UnsolicitedBytesHandler
 import org.shallotplank.gateway.http.answerCodec
 import org.shallotplank.gateway.http.fairReads
 
@@ -111,7 +109,7 @@
             val created = UpstreamConnection(channel)
             connection = created
             channel.pipeline()
-                .addLast(UnsolicitedBytesHandler(created))
+                .addLast(UnsolicitedBytesHandler(created::isRequestOpen))
                 .addLast(answerCodec())
                 .addLast(EndOfInputHandler())
                 .addLast(InvalidHeadHandler())
@@ -165,16 +163,3 @@
         val CONNECT_TIMEOUT = 500.milliseconds
     }
 }
-
-/** Closes a connection that receives bytes with no request in flight, before decoding them. */
-private class UnsolicitedBytesHandler(private val connection: UpstreamConnection) :
-    ChannelInboundHandlerAdapter() {
-    override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (connection.isRequestOpen) {
-            context.fireChannelRead(message)
-            return
-        }
-        ReferenceCountUtil.release(message)
-        context.close()
-    }
-}
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/HttpClientTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/HttpClientTest.kt
@@ -94,6 +94,56 @@
         }
     }
 
+    /** Guards against orders that are taken for carried out by the answer to an earlier one. */
+    @Nested
+    inner class AReplyThatNobodyAskedFor {
+        /** The reply to a second call, after [unsolicited] came with or behind the first reply. */
+        private fun secondReply(unsolicited: (Socket) -> Unit): String? {
+            val peer = ScriptedUpstream { request, socket, _ ->
+                socket.send(answer(request, request.line))
+                if ("/first" in request.line) unsolicited(socket)
+            }
+            open += peer
+            val client = HttpClient(group, peer.address)
+            val reply = runBlocking(group.next().asCoroutineDispatcher()) {
+                client.call(HttpCall("POST", "/first"), timeout = 5.seconds)
+                delay(LATER_MILLIS * 2)
+                client.call(HttpCall("POST", "/second"), timeout = 5.seconds)
+            }
+            return reply.getOrNull()?.body?.decodeToString()
+        }
+
+        private val repeated = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+
+        @Test
+        fun `directly behind another is not the reply to the next call`() =
+            assertEquals("POST /second HTTP/1.1", secondReply { it.send(repeated) })
+
+        @Test
+        fun `and comes later is not the reply to the next call`() {
+            val reply = secondReply {
+                Thread.sleep(LATER_MILLIS)
+                it.send(repeated)
+            }
+            assertEquals("POST /second HTTP/1.1", reply)
+        }
+
+        @Test
+        fun `and never ends is not the reply to the next call`() {
+            val reply = secondReply { it.send("HTTP/1.1 200 OK\r\n\r\nendless") }
+            assertEquals("POST /second HTTP/1.1", reply)
+        }
+    }
+
+    @Nested
+    inner class AnInterimReply {
+        @Test
+        fun `is not the reply`() {
+            val reply = call { it.send("HTTP/1.1 102 Processing\r\n\r\n") }
+            assertEquals(CallFailure.CONNECTION_LOST.left(), reply)
+        }
+    }
+
     private companion object {
         /** Longer than a call takes to be sent, or the beginning of its reply to be read. */
         const val LATER_MILLIS = 100L
