--- a/runtime/src/main/kotlin/org/shallotplank/runtime/agent/EventStreamReader.kt
+++ b/runtime/src/main/kotlin/org/shallotplank/runtime/agent/EventStreamReader.kt
@@ -1,7 +1,7 @@
 package org.shallotplank.runtime.agent
 
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.readLine
+import io.ktor.utils.io.readLineStrict
 import java.io.IOException
 import org.shallotplank.core.call.Payload
 
@@ -26,7 +26,7 @@
         var id = 0L
         var isLast = false
         while (true) {
-            val line = channel.readLine() ?: return null
+            val line = channel.readLineStrict(MAX_EVENT_CHARS.toLong()) ?: return null
             if (line.isEmpty() && text.isEmpty()) continue
             if (line.isEmpty()) break
             if (line.startsWith(ID_FIELD)) id = line.removePrefix(ID_FIELD).trim().toLong()
--- a/runtime/src/main/kotlin/org/shallotplank/runtime/agent/HttpUpstream.kt
+++ b/runtime/src/main/kotlin/org/shallotplank/runtime/agent/HttpUpstream.kt
@@ -7,13 +7,12 @@
 import io.ktor.client.plugins.HttpTimeoutConfig
 import io.ktor.client.plugins.timeout
 import io.ktor.client.request.HttpRequestBuilder
-import io.ktor.client.request.get
 import io.ktor.client.request.header
+import io.ktor.client.request.prepareGet
 import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
-import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
@@ -31,6 +30,7 @@
 import org.shallotplank.core.call.AnswerHead
 import org.shallotplank.core.call.AttemptOffer
 import org.shallotplank.core.call.Payload
+import org.shallotplank.runtime.textUpTo
 
 /**
  * Returns ports that call the upstream at [address] over HTTP.
@@ -123,10 +123,12 @@
     }
 
     suspend fun readLoad(): UpstreamLoad? = try {
-        val response = client.get("http://$address/load") {
+        client.prepareGet("http://$address/load") {
             timeout { requestTimeoutMillis = LOAD_TIMEOUT.inWholeMilliseconds }
+        }.execute { response ->
+            val text = response.takeIf { it.status.isSuccess() }?.textUpTo(MAX_LOAD_BYTES)
+            text?.let { json.decodeFromString<UpstreamLoad>(it) }
         }
-        if (response.status.isSuccess()) json.decodeFromString(response.bodyAsText()) else null
     } catch (e: CancellationException) {
         throw e
     } catch (e: Exception) {
@@ -139,6 +141,9 @@
     private companion object {
         const val CHUNK_BYTES = 32 * 1024
         val STATUSES = 100..599
+
+        /** A load has a few numbers. */
+        const val MAX_LOAD_BYTES = 65_536L
         val CONNECT_TIMEOUT: Duration = 1.seconds
         val LOAD_TIMEOUT: Duration = 1.seconds
         val json = Json { ignoreUnknownKeys = true }
--- a/runtime/src/main/kotlin/org/shallotplank/runtime/platform/HttpPlatform.kt
+++ b/runtime/src/main/kotlin/org/shallotplank/runtime/platform/HttpPlatform.kt
@@ -3,11 +3,10 @@
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.plugins.HttpTimeout
-import io.ktor.client.request.get
-import io.ktor.client.request.put
+import io.ktor.client.request.prepareGet
+import io.ktor.client.request.preparePut
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
@@ -25,6 +24,7 @@
 import kotlinx.serialization.json.JsonNamingStrategy
 import org.shallotplank.core.Address
 import org.shallotplank.core.Instance
+import org.shallotplank.runtime.textUpTo
 
 /**
  * Returns ports that call the platform at [address] over HTTP.
@@ -52,51 +52,55 @@
     }
 
     suspend fun readItem(key: String): TableRead = call {
-        val response = client.get(url("table", key))
-        when {
-            response.status.isSuccess() -> response.item().let {
-                TableRead.Found(it.version, it.value)
+        client.prepareGet(url("table", key)).execute { response ->
+            when {
+                response.status.isSuccess() -> response.item().let {
+                    TableRead.Found(it.version, it.value)
+                }
+                response.status == HttpStatusCode.NotFound -> TableRead.Found(0, value = null)
+                else -> TableRead.Unavailable
             }
-            response.status == HttpStatusCode.NotFound -> TableRead.Found(0, value = null)
-            else -> TableRead.Unavailable
         }
     } ?: TableRead.Unavailable
 
     suspend fun writeItem(item: TableItem): TableWrite = call {
-        val response = client.put(url("table", item.key)) {
+        client.preparePut(url("table", item.key)) {
             contentType(ContentType.Application.Json)
             setBody(platformJson.encodeToString(WriteBody(item.expectedVersion, item.value)))
-        }
-        when {
-            response.status.isSuccess() -> TableWrite.Written(response.item().version)
-            response.status == HttpStatusCode.Conflict -> response.item().let {
-                TableWrite.Conflict(it.version, it.value)
+        }.execute { response ->
+            when {
+                response.status.isSuccess() -> TableWrite.Written(response.item().version)
+                response.status == HttpStatusCode.Conflict -> response.item().let {
+                    TableWrite.Conflict(it.version, it.value)
+                }
+                else -> TableWrite.Unknown
             }
-            else -> TableWrite.Unknown
         }
     } ?: TableWrite.Unknown
 
     suspend fun readObject(name: String): String? = call {
-        val response = client.get(url("objects", name))
-        if (response.status.isSuccess()) response.bodyAsText() else null
+        client.prepareGet(url("objects", name)).execute { it.successfulText() }
     }
 
     suspend fun writeObject(name: String, content: String): Boolean = call {
-        client.put(url("objects", name)) { setBody(content) }.status.isSuccess()
+        client.preparePut(url("objects", name)) { setBody(content) }
+            .execute { it.status.isSuccess() }
     } ?: false
 
     suspend fun listInstances(): PersistentList<Instance>? = call {
-        val response = client.get("http://$address/instances")
-        if (!response.status.isSuccess()) return@call null
-        val list = platformJson.decodeFromString<InstanceList>(response.bodyAsText())
-        list.instances.toPersistentList()
+        val text = client.prepareGet("http://$address/instances").execute { it.successfulText() }
+        val list = text?.let { platformJson.decodeFromString<InstanceList>(it) }
+        list?.instances?.toPersistentList()
     }
 
     private fun url(kind: String, name: String): String =
         "http://$address/$kind/${name.encodeURLPathPart()}"
 
     private suspend fun HttpResponse.item(): ItemBody =
-        platformJson.decodeFromString<ItemBody>(bodyAsText())
+        platformJson.decodeFromString<ItemBody>(textUpTo(MAX_ANSWER_BYTES))
+
+    private suspend fun HttpResponse.successfulText(): String? =
+        if (status.isSuccess()) textUpTo(MAX_ANSWER_BYTES) else null
 
     /** Returns null on any failure of the call. */
     private suspend fun <T> call(block: suspend () -> T?): T? = try {
@@ -127,3 +131,6 @@
 }
 
 private val PLATFORM_TIMEOUT = 1.seconds
+
+/** Several times the largest object, a whole configuration. */
+private const val MAX_ANSWER_BYTES = 16L * 1_048_576
