--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
@@ -88,25 +88,30 @@
         val startedAt = clock.now()
         when (val outcome = pollUnlessAbandoned(startedAt)) {
             is Either.Left -> onFailure(outcome.value, startedAt)
-            is Either.Right -> onAnswer(startedAt, outcome.value)
+            is Either.Right -> onAnswer(startedAt, outcome.value())
             null -> Unit
         }
     }
 
-    /** Returns null if [abandonCall] ended the call. */
-    private suspend fun pollUnlessAbandoned(startedAt: Instant): Either<StoreFailure, Boolean>? =
-        coroutineScope {
-            val call = async { poll() }
-            openCall = OpenCall(startedAt, call)
-            try {
-                call.await()
-            } catch (_: CancellationException) {
-                ensureActive()
-                null
-            } finally {
-                openCall = null
-            }
+    /**
+     * Returns how to apply the answer, or null if [abandonCall] ended the call.
+     *
+     * Nothing is applied here, so that no other coroutine sees a copy before [onContact] does.
+     */
+    private suspend fun pollUnlessAbandoned(
+        startedAt: Instant
+    ): Either<StoreFailure, () -> Boolean>? = coroutineScope {
+        val call = async { poll() }
+        openCall = OpenCall(startedAt, call)
+        try {
+            call.await()
+        } catch (_: CancellationException) {
+            ensureActive()
+            null
+        } finally {
+            openCall = null
         }
+    }
 
     /** Calls again at once if the open call began before [since], when it may have been lost. */
     public fun abandonCall(since: Instant) {
@@ -128,18 +133,22 @@
         onContact(replica, replace(contents))
     }
 
-    private suspend fun poll(): Either<StoreFailure, Boolean> = if (mustReadWhole) {
+    private suspend fun poll(): Either<StoreFailure, () -> Boolean> = if (mustReadWhole) {
         store.read(settings.table).map { contents ->
-            mustReadWhole = false
-            wholeReads++
-            logWholeRead(contents)
-            replace(contents)
+            {
+                mustReadWhole = false
+                wholeReads++
+                logWholeRead(contents)
+                replace(contents)
+            }
         }
     } else {
         val since = replica.revision
         store.changes(settings.table, since, waitTime()).map { changes ->
-            wholeReads = 0
-            apply(ChangeBatch(since, changes))
+            {
+                wholeReads = 0
+                apply(ChangeBatch(since, changes))
+            }
         }
     }
 
