--- a/gateway/src/test/kotlin/org/shallotplank/gateway/RestartedEntryTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/RestartedEntryTest.kt
@@ -21,7 +21,7 @@
     private fun crashing(): ScriptedUpstream {
         lateinit var upstream: ScriptedUpstream
         upstream = ScriptedUpstream { _, socket, _ ->
-            upstream.close()
+            upstream.stopListening()
             socket.reset()
         }
         return upstream.also { upstreams += it }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/ScriptedUpstream.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/ScriptedUpstream.kt
@@ -58,6 +58,16 @@
         socket.close()
     }
 
+    /**
+     * Ends listening, so that connections are refused when this returns.
+     *
+     * The kernel may accept some for a moment while another thread still waits for one.
+     */
+    fun stopListening() {
+        listening.close()
+        while (runCatching { Socket(address.host, address.port).close() }.isSuccess) Thread.sleep(1)
+    }
+
     override fun close() {
         listening.close()
         sockets.forEach { it.close() }
