--- a/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/ClusterView.kt
@@ -199,40 +199,43 @@
         )
         keeping.start(store, ranks)
         registration = Registration(settings.instanceId.value, row, schema.entryTable, store)
+        startRetention(store)
+        tables.start(store, scope)
+        scope.launch { registration.keep(::entryReplica) { !exchanges.state.isStopping } }
+        exchange.start(seeds)
+    }
+
+    private fun startRetention(store: MetadataStore) {
+        val state = RetainedState(
+            requests = RetainedRequests({ exchanges.state.quarantine }, ::onCrashRetained),
+            promptCrashes = RetainedPromptCrashes({ exchanges.state.partQuarantine }) {
+                exchanges.emit(GatewayEvent.PromptCrashesLearned(it.toPersistentList()))
+            },
+            notices = RetainedNotices(
+                known = { exchanges.state.notices },
+                isListed = { it in exchanges.state.upstreams },
+                onLearned = { exchanges.emit(GatewayEvent.NoticesRetained(it)) }
+            )
+        )
         retention = StateRetention(
             instance = settings.instanceId.value,
             table = schema.entryTable,
             store = store,
             clock = clock,
-            state = RetainedState(
-                RetainedRequests({ exchanges.state.quarantine }, ::onCrashRetained),
-                RetainedPromptCrashes({ exchanges.state.partQuarantine }) {
-                    exchanges.emit(GatewayEvent.PromptCrashesLearned(it.toPersistentList()))
-                },
-                RetainedNotices(
-                    known = { exchanges.state.notices },
-                    isListed = { it in exchanges.state.upstreams },
-                    onLearned = { exchanges.emit(GatewayEvent.NoticesRetained(it)) }
-                )
-            ),
+            state = state,
             log = log
         )
         exchanges.onCrash = { record ->
             crashes.add(record)
-            retention.add(record)
-            writeRetained(clock.now())
+            retain { add(record) }
         }
-        exchanges.onPromptCrash = { upstream ->
-            retention.addPromptCrash(upstream)
-            writeRetained(clock.now())
-        }
-        exchanges.onNotice = { upstream ->
-            retention.addNotice(upstream)
-            writeRetained(clock.now())
-        }
-        tables.start(store, scope)
-        scope.launch { registration.keep(::entryReplica) { !exchanges.state.isStopping } }
-        exchange.start(seeds)
+        exchanges.onPromptCrash = { upstream -> retain { addPromptCrash(upstream) } }
+        exchanges.onNotice = { upstream -> retain { addNotice(upstream) } }
+    }
+
+    private fun retain(change: StateRetention.() -> Unit) {
+        retention.change()
+        writeRetained(clock.now())
     }
 
     /** Replaces the seed addresses, which are polled in addition to registered entries. */
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/EndlessAnswerLoadTest.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/EndlessAnswerLoadTest.kt
@@ -23,17 +23,7 @@
         val engines = List(ENGINES) { FloodingPeer(flood) }
         try {
             LoadedEntry("Endless-$name", 0, IDLE, engines.map { it.address }).use { entry ->
-                val requests = generateSequence(0) { it + 1 }.map { piece(request(path, "l$it")) }
-                    .iterator()
-                val pieces = { listOf(requests.next()).iterator() }
-                val readers = ReadingCallers(entry.callers, CALLERS / 2) { request(path, "r$it") }
-                LoadCallers(entry.callers, CALLERS / 2, pieces = pieces).use { load ->
-                    readers.use {
-                        load.awaitSent(SENDING_TIME)
-                        Thread.sleep(FLOOD_TIME.inWholeMilliseconds)
-                        entry.verify(name)
-                    }
-                }
+                flooded(entry, path) { entry.verify(name) }
                 check(engines.sumOf { it.sentBytes.get() } > 0) { "no request reached an engine" }
                 entry.verify("$name, afterwards")
             }
@@ -42,6 +32,23 @@
         }
     }
 
+    /** Runs [verify] while callers have requests for [path] open. */
+    private fun flooded(entry: LoadedEntry, path: String, verify: () -> Unit) {
+        val requests = generateSequence(0) { it + 1 }.map { piece(request(path, "l$it")) }
+            .iterator()
+        val pieces = { listOf(requests.next()).iterator() }
+        val readers = ReadingCallers(entry.callers, CALLERS / 2) { request(path, "r$it") }
+        val silent = LoadCallers(entry.callers, CALLERS / 2, pieces = pieces)
+        try {
+            silent.awaitSent(SENDING_TIME)
+            Thread.sleep(FLOOD_TIME.inWholeMilliseconds)
+            verify()
+        } finally {
+            silent.close()
+            readers.close()
+        }
+    }
+
     private fun request(path: String, attemptId: String) =
         "GET /$path/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: $attemptId\r\n\r\n"
 
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/FloodingPeer.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/FloodingPeer.kt
@@ -2,13 +2,8 @@
 
 import java.io.IOException
 import java.io.InputStream
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
-import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicLong
-import kotlin.concurrent.thread
-import org.shallotplank.core.Address
 
 /**
  * How a [FloodingPeer] answers.
@@ -19,40 +14,19 @@
 internal class Flood(val begin: (attemptId: String) -> String, val piece: String = "")
 
 /** A process that answers every request with [flood] until the other side closes. */
-internal class FloodingPeer(private val flood: Flood) : AutoCloseable {
-    private val listening = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
-    private val accepted = CopyOnWriteArrayList<Socket>()
-
+internal class FloodingPeer(private val flood: Flood) : AcceptingServer() {
     /** Bytes that the other side has taken so far. */
     val sentBytes = AtomicLong()
-    val address = Address("127.0.0.1", listening.localPort)
 
     init {
-        thread(isDaemon = true) {
-            try {
-                while (true) listening.accept().also { accepted += it }.let(::serveInThread)
-            } catch (_: IOException) {
-                // The test has ended.
-            }
-        }
+        startAccepting()
     }
 
-    override fun close() {
-        listening.close()
-        accepted.forEach { it.close() }
-    }
-
-    private fun serveInThread(socket: Socket) {
-        thread(isDaemon = true) {
-            try {
-                while (true) serve(socket)
-            } catch (_: IOException) {
-                socket.close()
-            }
-        }
+    override fun serve(socket: Socket) {
+        while (true) answer(socket)
     }
 
-    private fun serve(socket: Socket) {
+    private fun answer(socket: Socket) {
         val head = readHead(socket.getInputStream())
         val attemptId = head.lines().find { it.startsWith("Attempt-Id:", ignoreCase = true) }
             ?.substringAfter(':')?.trim().orEmpty()
@@ -78,7 +52,6 @@
     }
 
     private companion object {
-        const val BACKLOG = 1_024
         const val WRITE_BYTES = 16_384
     }
 }
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadStandIns.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadStandIns.kt
@@ -9,13 +9,8 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.route
-import java.io.IOException
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.Base64
-import java.util.concurrent.CopyOnWriteArrayList
-import kotlin.concurrent.thread
 import kotlinx.coroutines.delay
 import org.shallotplank.core.Address
 import org.shallotplank.integrationtest.anyLoopbackPort
@@ -34,7 +29,7 @@
         "op" to row("config", configuration),
         "servers" to (
             listOf(upstreamRow("upstream", "s", upstream)) +
-                others.mapIndexed { index, it -> upstreamRow("other$index", "f", it) }
+                others.mapIndexed { index, address -> upstreamRow("other$index", "f", address) }
             ).joinToString(",")
     )
     private val server = startServer(anyLoopbackPort) {
@@ -97,38 +92,12 @@
  * Engine behind a relay that answers `/ordinary` and `/long`, and stops reading other requests
  * after their first bytes.
  */
-internal class StallingEngine : AutoCloseable {
-    private val listening = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
-    private val accepted = CopyOnWriteArrayList<Socket>()
-
-    val address = Address("127.0.0.1", listening.localPort)
-
+internal class StallingEngine : AcceptingServer() {
     init {
-        thread(isDaemon = true) {
-            try {
-                while (true) listening.accept().also { accepted += it }.let(::serveInThread)
-            } catch (_: IOException) {
-                // The test has ended.
-            }
-        }
-    }
-
-    override fun close() {
-        listening.close()
-        accepted.forEach { it.close() }
-    }
-
-    private fun serveInThread(socket: Socket) {
-        thread(isDaemon = true) {
-            try {
-                serve(socket)
-            } catch (_: IOException) {
-                socket.close()
-            }
-        }
+        startAccepting()
     }
 
-    private fun serve(socket: Socket) {
+    override fun serve(socket: Socket) {
         val begin = ByteArray(FIRST_BYTES)
         val count = socket.getInputStream().read(begin)
         val target = String(begin, 0, count.coerceAtLeast(0)).substringAfter(' ')
@@ -143,7 +112,6 @@
     }
 
     private companion object {
-        const val BACKLOG = 1_024
         const val FIRST_BYTES = 64
         const val LONG_BYTES = 8 * 1_048_576
     }
@@ -151,57 +119,29 @@
 
 /** Passes connections on to [store], but those that ask for changes of a table to [changes]. */
 internal class ChangesProxy(private val store: Address, private val changes: Address) :
-    AutoCloseable {
-    private val listening = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
-    private val sockets = CopyOnWriteArrayList<Socket>()
-
-    val address = Address("127.0.0.1", listening.localPort)
-
+    AcceptingServer() {
     init {
-        thread(isDaemon = true) {
-            try {
-                while (true) listening.accept().also { sockets += it }.let(::passOnInThread)
-            } catch (_: IOException) {
-                // The test has ended.
-            }
-        }
-    }
-
-    override fun close() {
-        listening.close()
-        sockets.forEach { it.close() }
-    }
-
-    private fun passOnInThread(caller: Socket) {
-        thread(isDaemon = true) {
-            try {
-                passOn(caller)
-            } catch (_: IOException) {
-                caller.close()
-            }
-        }
+        startAccepting()
     }
 
-    /** Each request opens a connection of its own, so that its first bytes decide. */
-    private fun passOn(caller: Socket) {
+    /** Opens a connection for each request, whose first bytes tell where to. */
+    override fun serve(socket: Socket) {
         val buffer = ByteArray(BUFFER_BYTES)
         while (true) {
-            val count = caller.getInputStream().read(buffer)
+            val count = socket.getInputStream().read(buffer)
             if (count < 0) break
             val request = String(buffer, 0, count)
             val target = if ("/rows-feed" in request) changes else store
-            Socket(target.host, target.port).use { upstream ->
-                sockets += upstream
+            track(Socket(target.host, target.port)).use { upstream ->
                 val closing = request.replaceFirst("\r\n", "\r\nConnection: close\r\n")
                 upstream.getOutputStream().write(closing.toByteArray())
-                upstream.getInputStream().copyTo(caller.getOutputStream())
+                upstream.getInputStream().copyTo(socket.getOutputStream())
             }
         }
-        caller.close()
+        socket.close()
     }
 
     private companion object {
-        const val BACKLOG = 64
         const val BUFFER_BYTES = 65_536
     }
 }
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/ReadingCallers.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/ReadingCallers.kt
@@ -23,19 +23,21 @@
     private fun repeatRequest(caller: Int) {
         while (!isClosed) {
             try {
-                Socket(address.host, address.port).use { socket ->
-                    sockets += socket
-                    socket.getOutputStream().write(request(caller).toByteArray())
-                    val buffer = ByteArray(BUFFER_BYTES)
-                    while (socket.getInputStream().read(buffer) >= 0) Unit
-                    sockets -= socket
-                }
+                Socket(address.host, address.port).use { readAnswer(it, caller) }
             } catch (_: IOException) {
                 Thread.sleep(RETRY_MILLIS)
             }
         }
     }
 
+    private fun readAnswer(socket: Socket, caller: Int) {
+        sockets += socket
+        socket.getOutputStream().write(request(caller).toByteArray())
+        val buffer = ByteArray(BUFFER_BYTES)
+        while (socket.getInputStream().read(buffer) >= 0) Unit
+        sockets -= socket
+    }
+
     override fun close() {
         isClosed = true
         sockets.forEach { it.close() }
