--- a/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedNotices.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedNotices.kt
@@ -123,7 +123,7 @@
     return ObservedNotice(
         isLeaving = isLeaving,
         pausedUntil = pauseLeftMillis?.let { at + it.milliseconds } ?: Instant.DISTANT_PAST,
-        rate = requestsPerSecond?.let { ObservedRate(it, observedAt = at) }
+        rate = requestsPerSecond?.let { ObservedRate(it, times.toInstant(limitedAtMillis)) }
     )
 }
 
@@ -137,5 +137,6 @@
     atMillis = times.toMillis(now),
     isLeaving = isLeaving,
     pauseLeftMillis = (pausedUntil - now).inWholeMilliseconds.takeIf { it > 0 },
-    requestsPerSecond = rate?.requestsPerSecond
+    requestsPerSecond = rate?.requestsPerSecond,
+    limitedAtMillis = rate?.let { times.toMillis(it.observedAt) }
 )
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedRow.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedRow.kt
@@ -70,7 +70,9 @@
     val atMillis: Long? = null,
     val isLeaving: Boolean = false,
     val pauseLeftMillis: Long? = null,
-    val requestsPerSecond: Double? = null
+    val requestsPerSecond: Double? = null,
+    /** When the upstream last named [requestsPerSecond]. */
+    val limitedAtMillis: Long? = null
 )
 
 /**
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/retention/StateRetentionTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/retention/StateRetentionTest.kt
@@ -91,6 +91,8 @@
             retention.addNotice(upstream)
         }
 
+        fun ageOf(at: Instant): Duration = clock.now() - at
+
         fun pauseLeft(upstream: UpstreamKey): Duration =
             notices[upstream]?.pausedUntil?.minus(clock.now()) ?: Duration.ZERO
 
@@ -395,6 +397,21 @@
             assertEquals(emptySet(), store.rows.keys)
         }
 
+        /** Guards against limits that a rewritten row brings back after they were lifted. */
+        @Test
+        fun `of a limit is as old as the answer, not as the row that was written later`() {
+            val entry = start("a")
+            entry.announce(upstream) { ObservedNotice(rate = ObservedRate(1.7, it)) }
+            pass(200.milliseconds)
+            pass(20.seconds)
+            entry.crash(poison, "1")
+            pass(1.2.seconds)
+            val later = start("b")
+            pass(200.milliseconds)
+            val observedAt = later.notices.getValue(upstream).rate?.observedAt
+            assertTrue(later.ageOf(checkNotNull(observedAt)) >= 20.seconds)
+        }
+
         @Test
         fun `that each answer repeats is written once`() {
             val entry = start("a")
