--- a/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/PeerCompatibilityTest.kt
@@ -35,6 +35,7 @@
 import org.shallotplank.gateway.peer.WAITING
 import org.shallotplank.gateway.peer.promptCrashTable
 import org.shallotplank.gateway.peer.reportedVersions
+import org.shallotplank.gateway.peer.returnedAge
 import org.shallotplank.gateway.peer.revisionOf
 import org.shallotplank.gateway.peer.upstreamRateTable
 import org.shallotplank.gateway.retention.RetainedRow
@@ -138,6 +139,25 @@
             assertEquals(1, (decoded.tableVersions.keys - revisions.keys).size)
         }
 
+        /** Guards against rows that expired in an outage and that a copy shows as departures. */
+        @Test
+        fun `come with the time since the store returned, which build 4c2d8cf skips`() {
+            val versions = reportedVersions(revisions, returnedAge = 3.seconds)
+            val bytes = Cbor.encodeToByteArray(report(versions))
+            assertEquals(3.seconds, Cbor.decodeFromByteArray<PeerReport>(bytes).returnedAge)
+            val decoded = Cbor.decodeFromByteArray<Report4c2d8cf>(bytes)
+            assertEquals(35, decoded.tableVersions["op"])
+            assertEquals(2, (decoded.tableVersions.keys - revisions.keys).size)
+        }
+
+        @Test
+        fun `of build 4c2d8cf say nothing of a return of the store`() {
+            val bytes = Cbor.encodeToByteArray(report(mapOf("op" to 500L)))
+            val old = Cbor.decodeFromByteArray<Report4c2d8cf>(bytes)
+            val decoded = Cbor.decodeFromByteArray<PeerReport>(Cbor.encodeToByteArray(old))
+            assertEquals(null, decoded.returnedAge)
+        }
+
         @Test
         fun `of build 4c2d8cf precede those of any era`() {
             val bytes = Cbor.encodeToByteArray(report(mapOf("op" to 500L)))
