--- a/gateway/src/main/kotlin/org/shallotplank/gateway/StoreTables.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/StoreTables.kt
@@ -122,7 +122,8 @@
                 onContact = { replica, isChanged -> onContact(follow.table, replica, isChanged) }
             )
         }
-        contact.onAnswersAgain = { since -> followers.values.forEach { it.abandonCall(since) } }
+        contact.onAnswersAgain =
+            { at -> followers.values.forEach { it.abandonCall(startedBefore = at) } }
         followers.values.forEach { follower -> scope.launch { follower.run() } }
     }
 
@@ -132,9 +133,7 @@
     /** Reads all tables from the store itself, as after a suspension. */
     fun readAgain(): Unit = followers.values.forEach { it.endSupply() }
 
-    /** Whether the copy of [table] shows which rows were not written again after a return. */
-    fun isGraceOver(table: String): Boolean = isGraceOver(this[table])
-
+    /** Whether the copy shows which rows were not written again after a return of the store. */
     private fun isGraceOver(follower: TableFollower): Boolean =
         follower.confirmedAt >= contact.graceEndsAt
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/http/ContentMerger.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/http/ContentMerger.kt
@@ -1,10 +1,8 @@
 package org.shallotplank.gateway.http
 
 import io.netty.buffer.ByteBuf
-import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.channel.RecvByteBufAllocator
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.LastHttpContent
@@ -62,12 +60,3 @@
         context.fireChannelRead(DefaultHttpContent(content))
     }
 }
-
-/** Reads little from one connection at a time, so that one that sends much delays no others. */
-internal fun fairReads(): RecvByteBufAllocator =
-    AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
-        .maxMessagesPerRead(1)
-
-private const val MIN_READ_BYTES = 512
-private const val FIRST_READ_BYTES = 2_048
-private const val MAX_READ_BYTES = 16_384
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/StoreContact.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/StoreContact.kt
@@ -30,8 +30,8 @@
     /** When all writers have had the time to write their rows again since [returnedAt]. */
     public val graceEndsAt: Instant get() = returnedAt + rewriteGrace
 
-    /** Called when the store answers again, with the time since which calls may have been lost. */
-    public var onAnswersAgain: (since: Instant) -> Unit = {}
+    /** Called when the store answers again; open calls that began before then may be lost. */
+    public var onAnswersAgain: (at: Instant) -> Unit = {}
 
     private var hasFailed = false
     private var era: Long? = null
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/store/TableFollower.kt
@@ -113,9 +113,9 @@
         }
     }
 
-    /** Calls again at once if the open call began before [since], when it may have been lost. */
-    public fun abandonCall(since: Instant) {
-        openCall?.takeIf { it.startedAt < since }?.job?.cancel()
+    /** Calls again at once if the open call began before [startedBefore]; it may be lost. */
+    public fun abandonCall(startedBefore: Instant) {
+        openCall?.takeIf { it.startedAt < startedBefore }?.job?.cancel()
     }
 
     /** Replaces the copy with [contents] from the process [source] if those are newer. */
