--- a/gateway/src/test/kotlin/org/shallotplank/gateway/HttpClientTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/HttpClientTest.kt
@@ -6,9 +6,11 @@
 import io.netty.channel.nio.NioIoHandler
 import java.net.Socket
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancelAndJoin
@@ -135,6 +137,46 @@
         }
     }
 
+    /** Guards against calls to the store, entries and ranks that keep a reply without end. */
+    @Nested
+    inner class AReplyWithoutEnd {
+        private fun assertGivenUp(begin: String, piece: String) {
+            val sentBytes = AtomicLong()
+            val bytes = piece.repeat(PIECES).toByteArray()
+            val reply = call { socket ->
+                socket.send(begin)
+                while (sentBytes.get() < MAX_TAKEN_BYTES) {
+                    socket.getOutputStream().write(bytes)
+                    sentBytes.addAndGet(bytes.size.toLong())
+                }
+            }
+            assertEquals(CallFailure.CONNECTION_LOST.left(), reply)
+            assertTrue(sentBytes.get() < MAX_TAKEN_BYTES, "$sentBytes bytes were taken")
+        }
+
+        @Test
+        fun `in its head is given up`() = assertGivenUp("HTTP/1.1 200 OK\r\n", "a: b\r\n")
+
+        @Test
+        fun `in a line is given up`() = assertGivenUp("HTTP/1.1 200 ", "OK")
+
+        @Test
+        fun `in a body without a length is given up`() =
+            assertGivenUp("HTTP/1.1 200 OK\r\n\r\n", "x")
+
+        @Test
+        fun `in chunks is given up`() = assertGivenUp(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "400\r\n${"x".repeat(1_024)}\r\n"
+        )
+
+        @Test
+        fun `in a trailer is given up`() = assertGivenUp(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            "a: b\r\n"
+        )
+    }
+
     @Nested
     inner class AnInterimReply {
         @Test
@@ -147,5 +189,9 @@
     private companion object {
         /** Longer than a call takes to be sent, or the beginning of its reply to be read. */
         const val LATER_MILLIS = 100L
+        const val PIECES = 64
+
+        /** The longest reply that a client takes, and what sockets in between may hold. */
+        const val MAX_TAKEN_BYTES = 24L * 1_048_576
     }
 }
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/EndlessAnswerLoadTest.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/EndlessAnswerLoadTest.kt
@@ -175,7 +175,32 @@
             assertEntryBears("interim", Flood({ "" }, "HTTP/1.1 102 Processing\r\n\r\n"))
     }
 
+    /** Guards against a relay that keeps what its engine sends faster than its callers read. */
+    @Nested
+    inner class TheEngineOfARelay {
+        @Test
+        fun `that sends without end to callers that read and to ones that don't`() =
+            LoadedRelay("EndlessRelay").use { relay ->
+                val flood = "GET /flood HTTP/1.1\r\n\r\n"
+                val readers = ReadingCallers(relay.callers, RELAY_CALLERS / 2) { flood }
+                val silent = LoadCallers(relay.callers, RELAY_CALLERS / 2) {
+                    listOf(piece(flood)).iterator()
+                }
+                try {
+                    silent.awaitSent(SENDING_TIME)
+                    Thread.sleep(FLOOD_TIME.inWholeMilliseconds)
+                    check(relay.engine.floodedBytes.get() > 0) { "nothing was forwarded" }
+                    relay.verify()
+                } finally {
+                    silent.close()
+                    readers.close()
+                }
+            }
+    }
+
     private companion object {
+        /** Fewer than a relay has connections for. */
+        const val RELAY_CALLERS = 100
         const val ENGINES = 4
 
         /** As many as the entry takes from callers. */
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadStandIns.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadStandIns.kt
@@ -11,6 +11,7 @@
 import io.ktor.server.routing.route
 import java.net.Socket
 import java.util.Base64
+import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.delay
 import org.shallotplank.core.Address
 import org.shallotplank.integrationtest.anyLoopbackPort
@@ -89,10 +90,13 @@
 }
 
 /**
- * Engine behind a relay that answers `/ordinary` and `/long`, and stops reading other requests
- * after their first bytes.
+ * Engine behind a relay that answers `/ordinary` and `/long`, answers `/flood` without end, and
+ * stops reading other requests after their first bytes.
  */
 internal class StallingEngine : AcceptingServer() {
+    /** Bytes of `/flood` that the other side has taken so far. */
+    val floodedBytes = AtomicLong()
+
     init {
         startAccepting()
     }
@@ -105,13 +109,23 @@
         val bytes = when (target) {
             "/ordinary" -> 4
             "/long" -> LONG_BYTES
+            "/flood" -> return flood(socket)
             else -> return
         }
         val head = "HTTP/1.1 200 OK\r\nContent-Length: $bytes\r\n\r\n"
         socket.getOutputStream().write(head.toByteArray() + ByteArray(bytes))
     }
 
+    private fun flood(socket: Socket) {
+        val piece = ByteArray(FLOOD_PIECE_BYTES)
+        while (true) {
+            socket.getOutputStream().write(piece)
+            floodedBytes.addAndGet(piece.size.toLong())
+        }
+    }
+
     private companion object {
+        const val FLOOD_PIECE_BYTES = 16_384
         const val FIRST_BYTES = 64
         const val LONG_BYTES = 8 * 1_048_576
     }
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadedProcess.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadedProcess.kt
@@ -199,7 +199,7 @@
         maxResidentMegabytes = 110,
         maxDescriptors = 500
     ) {
-    private val engine = StallingEngine()
+    val engine = StallingEngine()
     val callers = LoopbackAddresses.reserve()
 
     init {
