--- a/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedNotices.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/retention/RetainedNotices.kt
@@ -15,8 +15,8 @@
 /**
  * What upstreams announced about themselves, as the rows of all entries have it.
  *
- * An entry retains the notices in answers to it. Pauses concern only the entry that was asked for
- * them, so that it alone reads them again.
+ * An entry retains the notices in answers to it. A pause concerns only the entry that was asked for
+ * it, so that no other entry applies it.
  *
  * @param known all notices as of now.
  * @param isListed whether an upstream may still be used.
@@ -94,7 +94,7 @@
         )
     }
 
-    /** Whether both say the same; each answer confirms a limit anew. */
+    /** Whether both are the same, apart from when a limit was last confirmed. */
     private fun ObservedNotice.isSame(other: ObservedNotice): Boolean =
         isLeaving == other.isLeaving &&
             pausedUntil == other.pausedUntil &&
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/retention/StateRetention.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/retention/StateRetention.kt
@@ -21,7 +21,7 @@
 /**
  * Retains in the store what has to hold after all processes have ended at once.
  *
- * Each entry has a row of its own, which it alone writes, and reads those of all others. Each write
+ * Each entry writes one row, which no other entry writes, and reads those of all others. Each write
  * expects the revision that was read, so that a delayed write cannot overwrite a later one. What
  * changed while the store did not answer is written once it does; no request waits for a write.
  *
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/StoreReturnTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/StoreReturnTest.kt
@@ -85,7 +85,7 @@
 
         private fun returnedAt(): Instant = tables.returnedAt
 
-        /** Takes over what [peer] reports now. */
+        /** Adopts the tables that [peer] offers in a report of now. */
         suspend fun pollPeer(client: HttpClient) {
             val report = PeerReport(
                 instance = "peer",
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/EndlessAnswerLoadTest.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/EndlessAnswerLoadTest.kt
@@ -19,7 +19,7 @@
         signed(attemptId) + "Content-Type: text/event-stream\r\n"
 
     /** Engines with [flood] before callers of which half read what they get. */
-    private fun assertEntryBears(name: String, flood: Flood, path: String = "flood") {
+    private fun assertStaysResponsive(name: String, flood: Flood, path: String = "flood") {
         val engines = List(ENGINES) { FloodingPeer(flood) }
         try {
             LoadedEntry("Endless-$name", 0, IDLE, engines.map { it.address }).use { entry ->
@@ -56,23 +56,23 @@
     inner class EnginesWithAnEndlessHead {
         @Test
         fun `of short fields`() =
-            assertEntryBears("short-fields", Flood({ signed(it) + SHORT_FIELDS }))
+            assertStaysResponsive("short-fields", Flood({ signed(it) + SHORT_FIELDS }))
 
         @Test
-        fun `of short fields before a body that stops`() = assertEntryBears(
+        fun `of short fields before a body that stops`() = assertStaysResponsive(
             "fields-and-body",
             Flood({ signed(it) + SHORT_FIELDS + "Content-Length: 1000000\r\n\r\nabc" })
         )
 
         @Test
-        fun `of one line`() = assertEntryBears("line", Flood({ "HTTP/1.1 200 " }, "OK"))
+        fun `of one line`() = assertStaysResponsive("line", Flood({ "HTTP/1.1 200 " }, "OK"))
 
         @Test
         fun `after interim answers`() =
-            assertEntryBears("interim", Flood({ "" }, "HTTP/1.1 102 Processing\r\n\r\n"))
+            assertStaysResponsive("interim", Flood({ "" }, "HTTP/1.1 102 Processing\r\n\r\n"))
 
         @Test
-        fun `in a trailer of short fields`() = assertEntryBears(
+        fun `in a trailer of short fields`() = assertStaysResponsive(
             "trailer",
             Flood({ signed(it) + CHUNKED + "2\r\nok\r\n0\r\n" + SHORT_FIELDS })
         )
@@ -82,37 +82,37 @@
     inner class EnginesWithAnEndlessBody {
         @Test
         fun `without a length`() =
-            assertEntryBears("no-length", Flood({ signed(it) + "\r\n" }, "x"))
+            assertStaysResponsive("no-length", Flood({ signed(it) + "\r\n" }, "x"))
 
         @Test
-        fun `with a length`() = assertEntryBears(
+        fun `with a length`() = assertStaysResponsive(
             "length",
             Flood({ signed(it) + "Content-Length: 100000000000\r\n\r\n" }, "x")
         )
 
         @Test
         fun `of chunks of one byte`() =
-            assertEntryBears("chunks", Flood({ signed(it) + CHUNKED }, "1\r\nx\r\n"))
+            assertStaysResponsive("chunks", Flood({ signed(it) + CHUNKED }, "1\r\nx\r\n"))
 
         @Test
         fun `in the size of a chunk`() =
-            assertEntryBears("chunk-size", Flood({ signed(it) + CHUNKED + "1" }, ";more"))
+            assertStaysResponsive("chunk-size", Flood({ signed(it) + CHUNKED + "1" }, ";more"))
 
         @Test
-        fun `behind a complete answer`() = assertEntryBears(
+        fun `behind a complete answer`() = assertStaysResponsive(
             "behind",
             Flood({ signed(it) + "Content-Length: 2\r\n\r\nok" }, "x")
         )
 
         @Test
-        fun `of one event`() = assertEntryBears(
+        fun `of one event`() = assertStaysResponsive(
             "event",
             Flood({ events(it) + CHUNKED + "8\r\ndata: a\n\r\n" }, "2\r\na\n\r\n"),
             path = "flood-stream"
         )
 
         @Test
-        fun `of many events`() = assertEntryBears(
+        fun `of many events`() = assertStaysResponsive(
             "events",
             Flood({ events(it) + CHUNKED }, "9\r\ndata: a\n\n\r\n"),
             path = "flood-stream"
@@ -122,31 +122,37 @@
     /** The entry polls what it takes for another entry several times a second. */
     @Nested
     inner class AnotherEntry {
-        private fun assertEntryBears(name: String, flood: Flood) = FloodingPeer(flood).use { peer ->
-            LoadedEntry("Peer-$name", 0, IDLE, seeds = listOf(peer.address)).use { entry ->
-                Thread.sleep(FLOOD_TIME.inWholeMilliseconds * 2)
-                entry.verify(name)
-                check(peer.sentBytes.get() > 0) { "the entry did not ask" }
+        private fun assertStaysResponsive(name: String, flood: Flood) =
+            FloodingPeer(flood).use { peer ->
+                LoadedEntry("Peer-$name", 0, IDLE, seeds = listOf(peer.address)).use { entry ->
+                    Thread.sleep(FLOOD_TIME.inWholeMilliseconds * 2)
+                    entry.verify(name)
+                    check(peer.sentBytes.get() > 0) { "the entry did not ask" }
+                }
             }
-        }
 
         @Test
-        fun `that sends short fields`() = assertEntryBears("short-fields", Flood({ OK_FIELDS }))
+        fun `that sends short fields`() = assertStaysResponsive(
+            "short-fields",
+            Flood({
+                OK_FIELDS
+            })
+        )
 
         @Test
         fun `that sends a body without a length`() =
-            assertEntryBears("no-length", Flood({ "HTTP/1.1 200 OK\r\n\r\n" }, "x"))
+            assertStaysResponsive("no-length", Flood({ "HTTP/1.1 200 OK\r\n\r\n" }, "x"))
 
         @Test
         fun `that sends chunks of one byte`() =
-            assertEntryBears("chunks", Flood({ "HTTP/1.1 200 OK\r\n$CHUNKED" }, "1\r\nx\r\n"))
+            assertStaysResponsive("chunks", Flood({ "HTTP/1.1 200 OK\r\n$CHUNKED" }, "1\r\nx\r\n"))
 
         @Test
         fun `that sends interim answers`() =
-            assertEntryBears("interim", Flood({ "" }, "HTTP/1.1 102 Processing\r\n\r\n"))
+            assertStaysResponsive("interim", Flood({ "" }, "HTTP/1.1 102 Processing\r\n\r\n"))
 
         @Test
-        fun `that sends behind a complete answer`() = assertEntryBears(
+        fun `that sends behind a complete answer`() = assertStaysResponsive(
             "behind",
             Flood({ "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }, "HTTP/1.1 200 OK\r\n")
         )
@@ -155,24 +161,30 @@
     @Nested
     inner class TheStore {
         /** The store floods all calls for changes, and reads are answered. */
-        private fun assertEntryBears(name: String, flood: Flood) = FloodingPeer(flood).use { peer ->
-            LoadedEntry("Store-$name", 0, IDLE, floodedChanges = peer.address).use { entry ->
-                Thread.sleep(FLOOD_TIME.inWholeMilliseconds * 2)
-                entry.verify(name)
-                check(peer.sentBytes.get() > 0) { "the entry did not ask" }
+        private fun assertStaysResponsive(name: String, flood: Flood) =
+            FloodingPeer(flood).use { peer ->
+                LoadedEntry("Store-$name", 0, IDLE, floodedChanges = peer.address).use { entry ->
+                    Thread.sleep(FLOOD_TIME.inWholeMilliseconds * 2)
+                    entry.verify(name)
+                    check(peer.sentBytes.get() > 0) { "the entry did not ask" }
+                }
             }
-        }
 
         @Test
-        fun `that sends short fields`() = assertEntryBears("short-fields", Flood({ OK_FIELDS }))
+        fun `that sends short fields`() = assertStaysResponsive(
+            "short-fields",
+            Flood({
+                OK_FIELDS
+            })
+        )
 
         @Test
         fun `that sends a body without a length`() =
-            assertEntryBears("no-length", Flood({ "HTTP/1.1 200 OK\r\n\r\n" }, "x"))
+            assertStaysResponsive("no-length", Flood({ "HTTP/1.1 200 OK\r\n\r\n" }, "x"))
 
         @Test
         fun `that sends interim answers`() =
-            assertEntryBears("interim", Flood({ "" }, "HTTP/1.1 102 Processing\r\n\r\n"))
+            assertStaysResponsive("interim", Flood({ "" }, "HTTP/1.1 102 Processing\r\n\r\n"))
     }
 
     /** Guards against a relay that keeps what its engine sends faster than its callers read. */
--- a/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadStandIns.kt
+++ b/integration-test/src/test/kotlin/org/shallotplank/integrationtest/load/LoadStandIns.kt
@@ -138,7 +138,7 @@
         startAccepting()
     }
 
-    /** Opens a connection for each request, whose first bytes tell where to. */
+    /** Opens a connection for each request, to the target that its first bytes name. */
     override fun serve(socket: Socket) {
         val buffer = ByteArray(BUFFER_BYTES)
         while (true) {
