--- a/review/standins-3/review3/KeepersCase.java
+++ b/review/standins-3/review3/KeepersCase.java
@@ -18,7 +18,7 @@
     private static final String KEY = "n2ctnfzs989anu6wsjnb";
 
     /** Share of the orders that get no answer and are carried out 2 to 12 s later. */
-    private static final double LATE_SHARE = 0.35;
+    private static final double LATE_SHARE = 0.5;
     private static final int FREEZES = 13;
 
     public static void main(String[] args) throws Exception {
