--- a/review/standins-3/review3/RankGroup.java
+++ b/review/standins-3/review3/RankGroup.java
@@ -279,12 +279,16 @@
 
     /** From now on, most requests choose experts that are on rank {@code number} and on few others. */
     synchronized void likeExpertsOf(int number) {
+        List<List<Integer>> before = new ArrayList<>(liked);
         liked.clear();
         for (int set = 0; set < SETS; set++) {
             int of = set;
             List<Integer> held = new ArrayList<>(ranks.get(number).map.get(set));
             held.sort((a, b) -> Long.compare(holders(of, a), holders(of, b)));
-            liked.add(held.subList(0, Math.min(4, held.size())));
+            List<Integer> next = new ArrayList<>(held.subList(0, Math.min(4, held.size())));
+            // One of four stays, so that the share that changes is 0.75.
+            if (!before.isEmpty() && !next.contains(before.get(set).get(0))) next.set(0, before.get(set).get(0));
+            liked.add(next);
         }
     }
 
