Confirm a lease only by reads and reports of the term that is held

Cause: LeaseGuard took the last read of the lease's row as a confirmation, whatever row it showed, and compared reports with the last term that was observed instead of the one that is held. So a read that showed the next holder let the previous one go on. Beside it, GroupKeepers stopped such a keeper only when it saw it between two changes, which a keeper whose orders are repeated may avoid for seconds.

Now the row confirms a term only while the replica shows this entry as its holder, and the last such read stays the confirmation of that term. So the guard itself ends the orders 4 s after the last read that came before the claim, and the next holder waits for 5 s. A keeper that lost its lease plans no further change; it completes one that may hold the group within that time, and abandons a preparation. This replaces the limit of 500 ms for a lease that is missing. Terms in reports are read from the same replica as the age that is reported with them.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -86,7 +86,9 @@
     /** Whether every rank was disarmed, and so refuses earlier orders, since the last arming. */
     val isDisarmed: Boolean = false,
     /** Whether a rank refused the fencing number; this keeper must then give no more orders. */
-    val isFenced: Boolean = false
+    val isFenced: Boolean = false,
+    /** Whether changes may be planned; a keeper that is about to end completes the last one. */
+    val mayPlan: Boolean = true
 ) {
     /**
      * Slowdown, relative to the group's median, of the ranks that are slower than most others.
@@ -109,6 +111,9 @@
     internal val isPlanOutdated: Boolean
         get() = demand.jumps != plannedJumps || slowRanks.keys.any { it !in plannedSlowRanks }
 
+    /** Whether to plan before the next planning interval has passed. */
+    internal val isPlanDue: Boolean get() = mayPlan && isPlanOutdated
+
     internal val allRanks: IntRange get() = 0 until ranks
 
     /** A version that no rank has used: it is above all versions of this and previous keepers. */
@@ -259,6 +264,9 @@
     /** The entry observed pauses of the group's streams, or none for some time. */
     public data class PausesObserved(val pauses: StreamPauses?) : GroupKeeperEvent
 
+    /** Changes may be planned from now on, or no longer. */
+    public data class PlanningChanged(val isAllowed: Boolean) : GroupKeeperEvent
+
     /** The periodic timer fired. */
     public data object Tick : GroupKeeperEvent
 }
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -20,6 +20,7 @@
     is GroupKeeperEvent.Listed -> onListed(event)
     is GroupKeeperEvent.Answered -> onAnswered(event, now)
     is GroupKeeperEvent.PausesObserved -> Step(copy(pauses = event.pauses))
+    is GroupKeeperEvent.PlanningChanged -> Step(copy(mayPlan = event.isAllowed))
     GroupKeeperEvent.Tick -> onTick(now)
 }
 
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
@@ -35,7 +35,7 @@
  */
 internal fun GroupKeeper.planIfChanged(now: Instant): GroupKeeperStep {
     val isFree = stage is KeeperStage.Settled || stage is KeeperStage.Preparing
-    if (!isFree || isFenced || !isPlanOutdated) return Step(this)
+    if (!isFree || isFenced || !isPlanDue) return Step(this)
     // No rank is armed yet, and a higher version may be prepared at any time.
     return copy(stage = KeeperStage.Settled).plan(now)
 }
@@ -80,7 +80,7 @@
 }
 
 private fun GroupKeeper.onSettledTick(now: Instant): GroupKeeperStep =
-    if (now - plannedAt >= settings.countInterval) plan(now) else Step(this)
+    if (mayPlan && now - plannedAt >= settings.countInterval) plan(now) else Step(this)
 
 /**
  * Reads the reports of some ranks in rotation: held step, armed map and slowdown.
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperTest.kt
@@ -10,6 +10,7 @@
 import kotlin.time.Instant
 import kotlinx.collections.immutable.toPersistentList
 import org.junit.jupiter.api.Nested
+import org.shallotplank.core.expertmap.fake.FakeRankGroup
 import org.shallotplank.core.gateway.PlacementProfile
 
 /** Load pattern: demand moves to other experts, and steps take longer until a map fits it. */
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/LateHoldTest.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/LateHoldTest.kt
@@ -5,6 +5,7 @@
 import kotlin.test.assertIs
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
+import org.shallotplank.core.expertmap.fake.FakeRankGroup
 import org.shallotplank.core.gateway.PlacementProfile
 
 /**
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/FakeRankGroup.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/fake/FakeRankGroup.kt
@@ -1,13 +1,18 @@
-package org.shallotplank.core.expertmap
+package org.shallotplank.core.expertmap.fake
 
 import kotlin.test.assertEquals
+import org.shallotplank.core.expertmap.ArmedMap
+import org.shallotplank.core.expertmap.GroupMap
+import org.shallotplank.core.expertmap.OrderOutcome
+import org.shallotplank.core.expertmap.RankOrder
+import org.shallotplank.core.expertmap.RankReport
 
 /**
  * Engines of one rank group that carry out a keeper's orders; a test may deliver its reports late.
  *
  * All ranks begin a step together; [runStep] fails if two ranks then use different maps.
  */
-internal class FakeRankGroup(private val ranks: Int) {
+internal class FakeRankGroup(private val ranks: Int, private val areFencesChecked: Boolean = true) {
     private class Rank {
         var version = 0L
         var highestVersion = 0L
@@ -63,8 +68,8 @@
     /** Carries out an order and returns its outcome. */
     fun execute(rank: Int, order: RankOrder, orderEpoch: Long, fence: Long): OrderOutcome {
         val member = members[rank]
-        if (fence < member.fence) return OrderOutcome.FENCED
-        member.fence = fence
+        if (areFencesChecked && fence < member.fence) return OrderOutcome.FENCED
+        member.fence = maxOf(member.fence, fence)
         if (orderEpoch != epoch) return OrderOutcome.CONFLICT
         val fits = when (order) {
             is RankOrder.Prepare -> member.prepare(order)
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GroupKeeping.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GroupKeeping.kt
@@ -12,9 +12,9 @@
 import org.shallotplank.gateway.group.GroupKeepers
 import org.shallotplank.gateway.group.KeeperCandidate
 import org.shallotplank.gateway.group.KeeperContext
+import org.shallotplank.gateway.group.LeaseConfirmation
 import org.shallotplank.gateway.group.LeaseGuard
 import org.shallotplank.gateway.group.RankPort
-import org.shallotplank.gateway.group.confirmedAt
 import org.shallotplank.gateway.http.HttpClients
 import org.shallotplank.gateway.peer.DelegatedHold
 import org.shallotplank.gateway.peer.PeerReports
@@ -49,8 +49,7 @@
     private val guard = LeaseGuard(
         areFencesChecked = settings.areFencesChecked,
         clock = environment.clock,
-        wallClock = environment.wallClock,
-        confirmedAt = ::leaseConfirmedAt
+        wallClock = environment.wallClock
     )
     private lateinit var keepers: GroupKeepers
     private lateinit var ranks: RankPort
@@ -116,6 +115,8 @@
         state = exchanges::state,
         table = schema.entryTable,
         replica = { entryTable().replica },
+        replicaReadAt = { entryTable().answeredAt },
+        confirmations = ::confirmations,
         hasRelinquished = ::hasRelinquished,
         guard = guard,
         delegateHold = ::delegateHold,
@@ -123,10 +124,9 @@
         log = log
     )
 
-    private fun leaseConfirmedAt(group: String): Instant {
+    private fun confirmations(group: String): List<LeaseConfirmation?> {
         val others = instances().map { it.value } - own.instance
-        val confirmations = reports().confirmations(group, others)
-        return confirmedAt(keepers.knownTerms[group], entryTable().answeredAt, confirmations)
+        return reports().confirmations(group, others)
     }
 
     /** True if the candidate reports it, or if a later incarnation of its instance is known. */
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -24,6 +24,7 @@
 import org.shallotplank.core.log.logRecord
 import org.shallotplank.gateway.peer.DelegatedHold
 import org.shallotplank.gateway.store.MetadataStore
+import org.shallotplank.gateway.store.StoreRow
 import org.shallotplank.gateway.store.TableReplica
 
 /** What [GroupKeepers] needs from the entry that it runs in. */
@@ -34,6 +35,10 @@
     val state: () -> GatewayState,
     val table: String,
     val replica: () -> TableReplica,
+    /** Start of the last call to the store whose answer is part of [replica]. */
+    val replicaReadAt: () -> Instant,
+    /** Reports of a group's lease by the other registered entries, null without a live report. */
+    val confirmations: (group: String) -> List<LeaseConfirmation?>,
     /** Whether the candidate is known never to issue orders for the group again. */
     val hasRelinquished: (KeeperCandidate, group: String) -> Boolean,
     val guard: LeaseGuard,
@@ -67,14 +72,19 @@
     private val endedAt = HashMap<String, Instant>()
     private val claimedAt = HashMap<String, Instant>()
     private val observedLeases = HashMap<String, ObservedLease>()
+    private val decodedRows = HashMap<String, DecodedRow>()
     private var checkedAt: Instant = Instant.DISTANT_PAST
 
     /** Entries that served at the last check. */
     private var serving: Collection<KeeperCandidate> = emptyList()
 
-    /** Last observed terms of the leases, by group. */
+    /**
+     * Terms of the leases in the replica, by group.
+     *
+     * Read now rather than at the last check, since they are reported with the replica's age.
+     */
     val knownTerms: Map<String, Long>
-        get() = observedLeases.mapNotNull { (name, lease) -> lease.term?.let { name to it } }
+        get() = observedLeases.keys.mapNotNull { name -> lease(name)?.let { name to it.term } }
             .toMap()
 
     /**
@@ -107,7 +117,7 @@
         val groups = knownGroups()
         serving = context.candidates()
         // A change in progress continues while a rank is missing from the list of upstreams.
-        (running.keys - groups.keys).forEach(::stopUnlessChanging)
+        (running.keys - groups.keys).forEach(::retire)
         groups.forEach { (name, group) -> check(name, group, now) }
         port.keepOnly(running.values.flatMap { it.ranks.values }.toSet())
     }
@@ -120,15 +130,17 @@
     }
 
     private fun check(name: String, group: KnownGroup, now: Instant) {
-        val replica = context.replica()
-        val era = replica.revision.era
-        val stored = replica.row(KEY_PREFIX + name)?.let { decode(it.value) }
-        val lease = stored?.takeIf { it.isOfEra(era) }?.let(::withAllowedDeputies)
-        observedLease(name).record(lease, era, isEnded = stored != null && lease == null, now)
+        val lease = lease(name)
+        observedLease(name).record(
+            lease = lease,
+            era = context.replica().revision.era,
+            isEnded = lease == null && storedLease(name) != null,
+            now = now
+        )
         val fence = lease?.fenceOf(context.own, serving)
         val keeper = running[name]
         if (lease == null || fence == null) {
-            if (mayChangeContinue(name, now)) stopUnlessChanging(name) else stopNow(name)
+            retire(name)
             val isServed = lease?.isServed(serving) == true
             if (!isServed && context.own == preferred(name) && mayClaimFrom(lease, name, now)) {
                 claim(name, lease, now)
@@ -143,10 +155,34 @@
                 startOrUpdate(name, group, fence)
                 renew(name, lease, now)
             }
-            else -> stopUnlessChanging(name)
+            else -> retire(name)
         }
     }
 
+    /** The lease of the group [name] in the present era of the store, null if there is none. */
+    private fun lease(name: String): GroupLease? = storedLease(name)
+        ?.takeIf { it.isOfEra(context.replica().revision.era) }
+        ?.let(::withAllowedDeputies)
+
+    private fun storedLease(name: String): GroupLease? {
+        val row = context.replica().row(KEY_PREFIX + name) ?: return null
+        val known = decodedRows[name]?.takeIf { it.row == row }
+        val decoded = known ?: DecodedRow(row, decode(row.value)).also { decodedRows[name] = it }
+        return decoded.lease
+    }
+
+    /**
+     * Whether this entry may issue orders as the holder of the lease of [term].
+     *
+     * A read of the row of another holder or term confirms nothing, nor do reports of it.
+     */
+    private fun mayIssueOrders(name: String, term: Long): Boolean = context.guard.mayIssueOrders {
+        val observed = observedLease(name)
+        lease(name)?.takeIf { it.isHeldBy(context.own) }
+            ?.let { observed.confirm(it, context.replicaReadAt()) }
+        confirmedAt(term, observed.confirmedAt(term), context.confirmations(name))
+    }
+
     /**
      * Removes the deputies from [lease] where ranks do not check fences.
      *
@@ -158,21 +194,9 @@
     private fun observedLease(name: String): ObservedLease =
         observedLeases.getOrPut(name) { ObservedLease(context.own) }
 
-    /**
-     * Whether a change in progress may be completed although the entry is not the group's keeper.
-     *
-     * Where ranks do not check fences, a change under a lease that has ended must be over before
-     * [LeaseGuard] lets the next holder start.
-     */
-    private fun mayChangeContinue(name: String, now: Instant): Boolean {
-        if (context.guard.areFencesChecked) return true
-        val missingSince = observedLease(name).missingSince ?: return true
-        return now - missingSince < CHANGE_COMPLETION_TIME
-    }
-
     private fun mayKeep(name: String): Boolean {
         val heldLease = observedLease(name).held ?: return context.guard.areFencesChecked
-        if (!context.guard.mayIssueOrders(name)) return false
+        if (!mayIssueOrders(name, heldLease.term)) return false
         if (!heldLease.isTakeoverAllowed) {
             val isPreviousHolderGone = heldLease.isPreviousHolderKnown &&
                 heldLease.previousHolder?.let { context.hasRelinquished(it, name) } ?: true
@@ -191,15 +215,16 @@
     }
 
     /**
-     * Stops keeping the group unless a change is in progress.
+     * Stops keeping the group once it cannot be held by a change of this keeper; no other change is
+     * begun.
      *
-     * That change is completed, unless a rank refuses its orders because it has already received a
-     * higher fencing number.
+     * Such a change is completed, unless a rank refuses its orders because it has already received
+     * a higher fencing number, or the time in which the lease allows orders is over.
      */
-    private fun stopUnlessChanging(name: String) {
+    private fun retire(name: String) {
         val keeper = running[name] ?: return
-        if (keeper.isChanging) return
-        stopNow(name)
+        keeper.allowPlanning(false)
+        if (!keeper.isHolding || !mayIssueOrders(name, keeper.term)) stopNow(name)
     }
 
     private fun logKeeperChange(name: String, fence: Long, isKept: Boolean) = context.log(
@@ -279,6 +304,7 @@
         val current = running[name]
         if (current != null && current.state.ranks == group.ranks.size) {
             current.ranks = group.ranks
+            current.allowPlanning(true)
             if (current.leaseFence == fence) return
             if (current.continueUnder(fence)) return logKeeperChange(name, fence, isKept = true)
         }
@@ -299,7 +325,7 @@
                 port = port,
                 scope = scope,
                 clock = context.clock,
-                mayIssueOrders = { context.guard.mayIssueOrders(name) },
+                mayIssueOrders = { term -> mayIssueOrders(name, term) },
                 delegateHold = context.delegateHold,
                 log = context.log
             )
@@ -336,6 +362,9 @@
         null
     }
 
+    /** A row of the replica and the lease in it, null if it cannot be read. */
+    private class DecodedRow(val row: StoreRow, val lease: GroupLease?)
+
     private class KnownGroup(val ranks: Map<Int, RankAddress>, val placement: PlacementProfile)
 
     internal companion object {
@@ -349,9 +378,6 @@
         /** An order is answered or abandoned within 320 ms. */
         private val MAX_ORDER_TIME = 400.milliseconds
 
-        /** With [MAX_ORDER_TIME] less than [LeaseGuard] adds to the validity of a lease. */
-        private val CHANGE_COMPLETION_TIME = 500.milliseconds
-
         /** Lets a claim appear in the table copy first, since each call to the store is billed. */
         private val CLAIM_INTERVAL = 1.seconds
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupLease.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupLease.kt
@@ -95,6 +95,9 @@
         private const val LAST_SLOT = (GroupKeeper.FENCES_PER_LEASE / FENCES_PER_SLOT - 1).toInt()
         private const val TERMS_PER_ERA = 1_000_000L
 
+        /** The term of the lease whose holder or deputy was given [fence]. */
+        fun termOf(fence: Long): Long = fence / GroupKeeper.FENCES_PER_LEASE
+
         /** The last term that can have been given out before [era] of the store. */
         fun lastTermBefore(era: Long): Long = era * TERMS_PER_ERA
     }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseConfirmation.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseConfirmation.kt
@@ -24,15 +24,15 @@
  * store, and, while no entry can read the store, by all other entries together: none of them had
  * observed a next holder when its report was requested.
  *
- * @param ownConfirmedAt start of this entry's last successful read of the lease rows.
+ * @param term the term that this entry holds, which need not be the last one that it observed.
+ * @param ownConfirmedAt start of this entry's last read that showed the lease of [term].
  * @param confirmations one for each other registered entry, null for those without a live report.
  */
 internal fun confirmedAt(
-    term: Long?,
+    term: Long,
     ownConfirmedAt: Instant,
     confirmations: Collection<LeaseConfirmation?>
 ): Instant {
-    if (term == null) return ownConfirmedAt
     val agreeing = confirmations.filterNotNull().filter { it.term == term }
     val confirmedByStore = agreeing.mapNotNull {
         it.storeAge?.let { age -> it.lastContactAt - age }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseGuard.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseGuard.kt
@@ -13,26 +13,24 @@
  * holder waits until that time has passed. Where ranks check fences, they refuse the previous
  * holder's orders themselves, and the guard allows everything.
  *
- * @param confirmedAt when a group's lease was last confirmed to be as this entry sees it.
  * @param wallClock advances while the machine is suspended, unlike the steady clock.
  */
 internal class LeaseGuard(
     val areFencesChecked: Boolean,
     private val clock: Clock,
-    private val wallClock: Clock,
-    private val confirmedAt: (group: String) -> Instant
+    private val wallClock: Clock
 ) {
     private var clockOffset: Duration = wallClock.now() - clock.now()
     private var lastSuspensionAt: Instant = Instant.DISTANT_PAST
 
     /**
-     * Whether the holder of the lease of [group] may issue orders now.
+     * Whether the holder of a lease that was last confirmed at [confirmedAt] may issue orders now.
      *
      * Always true where ranks check fences.
      */
-    fun mayIssueOrders(group: String): Boolean {
+    fun mayIssueOrders(confirmedAt: () -> Instant): Boolean {
         if (areFencesChecked) return true
-        val confirmed = confirmedAt(group)
+        val confirmed = confirmedAt()
         return isAfterLastSuspension(confirmed) && clock.now() - confirmed <= VALIDITY
     }
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/ObservedLease.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/ObservedLease.kt
@@ -12,15 +12,13 @@
     var highestTerm: Long = 0
         private set
 
-    /** Since when there has been no lease, null while there is one. */
-    var missingSince: Instant? = null
-        private set
-
     /** The lease if [own] holds it, else null. */
     var held: HeldLease? = null
         private set
 
     private var lastHolder: KeeperCandidate? = null
+    private var confirmedTerm: Long? = null
+    private var lastConfirmedAt: Instant = Instant.DISTANT_PAST
 
     /** Era of the store in which there last was a lease. */
     private var lastEra: Long? = null
@@ -34,7 +32,6 @@
         // A group without any lease is new, so that its first lease has no previous holder.
         if (lastEra == null && !isEnded) lastEra = era
         term = lease?.term
-        missingSince = if (lease == null) missingSince ?: now else null
         recordHeld(lease, era, now)
         lastHolder = lease?.leaseHolder
         if (lease == null) return
@@ -42,6 +39,17 @@
         lastEra = era
     }
 
+    /** Records that a read which began at [readAt] showed that [own] holds [lease]. */
+    fun confirm(lease: GroupLease, readAt: Instant) {
+        if (confirmedTerm != lease.term) lastConfirmedAt = Instant.DISTANT_PAST
+        confirmedTerm = lease.term
+        lastConfirmedAt = maxOf(lastConfirmedAt, readAt)
+    }
+
+    /** Start of the last read that showed that [own] holds the lease of [term]. */
+    fun confirmedAt(term: Long): Instant =
+        if (term == confirmedTerm) lastConfirmedAt else Instant.DISTANT_PAST
+
     private fun recordHeld(lease: GroupLease?, era: Long, now: Instant) {
         if (lease == null || !lease.isHeldBy(own)) {
             held = null
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
@@ -22,8 +22,8 @@
     private val port: RankPort,
     private val scope: CoroutineScope,
     private val clock: Clock,
-    /** Whether the keeper may issue orders now. */
-    private val mayIssueOrders: () -> Boolean,
+    /** Whether the holder of the lease of a term may issue orders now. */
+    private val mayIssueOrders: (term: Long) -> Boolean,
     /** Has another entry send a hold. */
     private val delegateHold: suspend (DelegatedHold) -> OrderOutcome,
     private val log: (LogRecord) -> Unit
@@ -38,9 +38,15 @@
 
     private var isEnded = false
 
+    /** The term of the lease under which the keeper issues orders. */
+    val term: Long get() = GroupLease.termOf(leaseFence)
+
     /** Whether the map is known and no change of it is in progress. */
     val isSettled: Boolean get() = state.stage is KeeperStage.Settled && !state.isFenced
 
+    /** Whether a change is at a stage at which the group may be held. */
+    val isHolding: Boolean get() = isChanging && state.stage !is KeeperStage.Preparing
+
     /** Whether a change is in progress, so that ranks may have received orders of it. */
     val isChanging: Boolean
         get() = when (state.stage) {
@@ -60,6 +66,11 @@
         return true
     }
 
+    /** Whether the keeper may begin a change. */
+    fun allowPlanning(isAllowed: Boolean) {
+        if (isAllowed != state.mayPlan) reduce(GroupKeeperEvent.PlanningChanged(isAllowed))
+    }
+
     /** Stops the keeper; answers that are still in flight cause no further orders. */
     fun end() {
         isEnded = true
@@ -94,7 +105,7 @@
                     GroupKeeperEvent.Listed(effect.rank, it.epoch, it.version, it.experts)
                 }
             }
-            is GroupKeeperEffect.SendOrder -> if (mayIssueOrders()) sendOrder(effect)
+            is GroupKeeperEffect.SendOrder -> if (mayIssueOrders(term)) sendOrder(effect)
         }
     }
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -296,14 +296,15 @@
                 },
                 table = "t",
                 replica = { lastRead ?: store.replica },
+                replicaReadAt = { cutOffAt ?: now },
+                confirmations = { emptyList() },
                 hasRelinquished = { candidate, group ->
                     entries.any { it.own == candidate && it.isKnownToHaveRelinquished(group) }
                 },
                 guard = LeaseGuard(
                     areFencesChecked = false,
                     clock = clock,
-                    wallClock = clock,
-                    confirmedAt = { cutOffAt ?: now }
+                    wallClock = clock
                 ),
                 delegateHold = { OrderOutcome.NO_ANSWER },
                 clock = clock,
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/LeaseConfirmationTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/LeaseConfirmationTest.kt
@@ -6,7 +6,10 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import org.junit.jupiter.api.Nested
+import org.shallotplank.gateway.group.GroupLease
+import org.shallotplank.gateway.group.KeeperCandidate
 import org.shallotplank.gateway.group.LeaseConfirmation
+import org.shallotplank.gateway.group.ObservedLease
 import org.shallotplank.gateway.group.confirmedAt
 
 /**
@@ -70,14 +73,30 @@
         }
     }
 
+    /** Guards against a keeper that goes on because it read the row of the next holder. */
     @Nested
-    inner class AnEntryThatHoldsNoLease {
+    inner class ARowOfTheStore {
+        private val own = KeeperCandidate("e1", incarnation = 1)
+        private val observed = ObservedLease(own)
+
+        @Test
+        fun `confirms the lease in it until the time of the read`() {
+            observed.confirm(GroupLease("e1", 1, term = 3), readAt = ownConfirmedAt)
+            assertEquals(ownConfirmedAt, observed.confirmedAt(term = 3))
+        }
+
+        @Test
+        fun `confirms no other term of the same holder`() {
+            observed.confirm(GroupLease("e1", 1, term = 5), readAt = ownConfirmedAt)
+            assertEquals(Instant.DISTANT_PAST, observed.confirmedAt(term = 3))
+        }
+
         @Test
-        fun `has nothing that others could confirm`() {
-            assertEquals(
-                ownConfirmedAt,
-                confirmedAt(null, ownConfirmedAt, listOf(confirmation(storeAge = 0.seconds)))
-            )
+        fun `confirms nothing later by an older read`() {
+            val lease = GroupLease("e1", 1, term = 3)
+            observed.confirm(lease, readAt = ownConfirmedAt)
+            observed.confirm(lease, readAt = start)
+            assertEquals(ownConfirmedAt, observed.confirmedAt(term = 3))
         }
     }
 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/LeaseGuardTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/LeaseGuardTest.kt
@@ -20,10 +20,11 @@
     private fun guard(areFencesChecked: Boolean) = LeaseGuard(
         areFencesChecked = areFencesChecked,
         clock = clock { steadyAt },
-        wallClock = clock { wallAt },
-        confirmedAt = { confirmedAt }
+        wallClock = clock { wallAt }
     )
 
+    private fun LeaseGuard.mayIssueOrders(): Boolean = mayIssueOrders { confirmedAt }
+
     private fun clock(read: () -> Instant) = object : Clock {
         override fun now(): Instant = read()
     }
@@ -40,32 +41,32 @@
         @Test
         fun `a suspended holder issues no order before its lease is confirmed again`() {
             advance(10.seconds)
-            assertFalse(guard.mayIssueOrders("g"))
+            assertFalse(guard.mayIssueOrders())
 
             confirmedAt = steadyAt
-            assertTrue(guard.mayIssueOrders("g"))
+            assertTrue(guard.mayIssueOrders())
         }
 
         @Test
         fun `a suspension that only the wall clock shows invalidates the confirmation`() {
             advance(50.milliseconds)
             confirmedAt = steadyAt
-            assertTrue(guard.mayIssueOrders("g"))
+            assertTrue(guard.mayIssueOrders())
 
             wallAt += 6.seconds
-            assertFalse(guard.mayIssueOrders("g"))
-            assertFalse(guard.mayIssueOrders("g"), "not confirmed since the suspension")
+            assertFalse(guard.mayIssueOrders())
+            assertFalse(guard.mayIssueOrders(), "not confirmed since the suspension")
 
             advance(50.milliseconds)
             confirmedAt = steadyAt
-            assertTrue(guard.mayIssueOrders("g"))
+            assertTrue(guard.mayIssueOrders())
         }
 
         @Test
         fun `the next holder starts after the previous holder has stopped issuing orders`() {
             val firstSeenAt = steadyAt
             confirmedAt = steadyAt
-            while (guard.mayIssueOrders("g") || steadyAt == firstSeenAt) {
+            while (guard.mayIssueOrders() || steadyAt == firstSeenAt) {
                 assertFalse(guard.mayTakeOver(firstSeenAt, isPreviousHolderGone = false))
                 advance(50.milliseconds)
                 if (steadyAt - firstSeenAt > 10.seconds) break
@@ -88,7 +89,7 @@
             val guard = guard(areFencesChecked = true)
             advance(60.seconds)
 
-            assertTrue(guard.mayIssueOrders("g"))
+            assertTrue(guard.mayIssueOrders())
             assertTrue(guard.mayTakeOver(steadyAt, isPreviousHolderGone = false))
         }
     }
