Supersede the orders of earlier keepers where ranks check no fences

Orders of a keeper that has ended are executed 2 to 12 s later, under the next keeper. It disarmed all ranks of the change that it found, with the step held at one rank: a rank that is armed late was armed again, and a late release let the step begin while only some ranks were armed.

Instead the keeper reads from the group's state what may still arrive. Ranks refuse to arm a version below the last prepared one: all ranks prepare the map in use under a new version (stage Superseding) before the keeper's first change and before it releases a step that it found held. A release that begins a change is sent only when all ranks are armed: if all are found armed, the change is completed. Ranks are disarmed only while the step is held at every rank. A step that an earlier keeper may have held is not held again.

Evidence: GroupKeeperFuzz now has groups that check no fences, whose former keeper ends and leaves its orders.

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -28,7 +28,14 @@
  * An order may get no answer and still be executed seconds later. Every order is therefore
  * idempotent and safe to arrive late: a version is armed for one step only, a step that has begun
  * cannot be held, armed or released again, and ranks refuse the orders of a previous keeper by its
- * fencing number.
+ * fencing number. Where ranks do not check fencing numbers, each state of the group shows which
+ * orders of earlier keepers may still arrive, and the keeper goes on from there:
+ * - Ranks are armed only while a step is held, and a rank refuses to arm a version once a higher
+ *   one is prepared. A keeper therefore prepares the map in use under a new version before it
+ *   releases a step that it found held, and before its first change; see [KeeperStage.Superseding].
+ * - A release that begins a change is sent only when all ranks are armed, so that a change is
+ *   completed if all ranks are found armed.
+ * - Ranks are disarmed only while the step is held at every rank, where a change holds it at one.
  *
  * @property fence fencing number of this keeper's lease; incremented when a change is undone, so
  *   that ranks refuse orders of that change that are still in flight.
@@ -83,6 +90,10 @@
     val nextPolledRank: Int = 0,
     /** When an order last got no answer. */
     val lastUnansweredOrderAt: Instant = Instant.DISTANT_PAST,
+    /** Whether every rank refuses to arm earlier versions, since the last arming. */
+    val hasSuperseded: Boolean = false,
+    /** The highest step that an earlier keeper, or a change that was undone, may have held. */
+    val usedStep: Long = 0,
     /** Whether every rank was disarmed, and so refuses earlier orders, since the last arming. */
     val isDisarmed: Boolean = false,
     /** Whether a rank refused the fencing number; this keeper must then give no more orders. */
@@ -145,13 +156,15 @@
  * @property popularityHalfLife time after which a count has half of its weight.
  * @property maxLoadsPerRank most experts that one rank may copy for one change, over all layers.
  * @property minGain gain below which a change is not worth its cost; see the planner's settings.
+ * @property areFencesChecked whether ranks refuse orders with a lower fencing number.
  */
 public data class GroupKeeperSettings(
     val sampledRanks: Int,
     val countInterval: Duration,
     val popularityHalfLife: Duration,
     val maxLoadsPerRank: Int,
-    val minGain: Double
+    val minGain: Double,
+    val areFencesChecked: Boolean = true
 )
 
 /** Stage of the change, if any, that a [GroupKeeper] is making. */
@@ -165,6 +178,18 @@
         val askedAt: Instant
     ) : KeeperStage
 
+    /**
+     * Every rank is ordered to prepare [map], which is in use already, under a new version.
+     *
+     * Each rank then refuses to arm earlier versions, also by orders of earlier keepers that have
+     * not arrived yet.
+     */
+    public data class Superseding(
+        val version: Long,
+        val map: GroupMap,
+        val superseded: PersistentSet<Int> = persistentSetOf()
+    ) : KeeperStage
+
     /** No change is in progress. */
     public data object Settled : KeeperStage
 
@@ -218,7 +243,8 @@
      * Undoes an unfinished change.
      *
      * First repeats each hold under the new fencing number, since the step may just have been
-     * released; only then disarms the ranks.
+     * released; only then disarms the ranks. Where ranks do not check fencing numbers, holds the
+     * step at all other ranks instead, so that the group stands still whatever arrives at one.
      */
     public data class Undoing(
         val versionByRank: PersistentMap<Int, Long>,
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -17,7 +17,7 @@
     is GroupKeeperEvent.Reported -> onReported(event, now).then { it.planIfChanged(now) }
     is GroupKeeperEvent.Counted ->
         onCounted(event, now).concludeSwitch(now).then { it.planIfChanged(now) }
-    is GroupKeeperEvent.Listed -> onListed(event)
+    is GroupKeeperEvent.Listed -> onListed(event, now)
     is GroupKeeperEvent.Answered -> onAnswered(event, now)
     is GroupKeeperEvent.PausesObserved -> Step(copy(pauses = event.pauses))
     is GroupKeeperEvent.PlanningChanged -> Step(copy(mayPlan = event.isAllowed))
@@ -68,7 +68,9 @@
         latestStep = 0,
         pace = StepPace(),
         mapStep = 0,
-        map = null
+        map = null,
+        hasSuperseded = false,
+        usedStep = 0
     )
     return Step(restarted, effects(GroupKeeperEffect.Log(record)))
 }
@@ -85,26 +87,71 @@
         reports[rank]?.takeIf { it.at >= survey.since + it.report.maxAge }?.report
             ?: return Step(this)
     }
+    if (!settings.areFencesChecked) return concludeUnfencedSurvey(recent, now)
     val held = recent.withIndex().filter { it.value.heldStep != null }
-    val armed = recent.withIndex().filter { it.value.armed != null }
+    val areNoneArmed = recent.all { it.armed == null }
     return when {
-        held.isNotEmpty() && isDisarmed && armed.isEmpty() -> {
-            val steps = held.associate { it.index to (it.value.heldStep ?: 0) }
-            enter(KeeperStage.LettingGo(steps.toPersistentMap()), now)
-        }
+        held.isNotEmpty() && isDisarmed && areNoneArmed -> letGo(recent, now)
         held.isNotEmpty() -> undo(recent, now)
-        // Ranks are armed but none is held: all ranks are armed, and the switch is in progress.
-        armed.isNotEmpty() -> enter(KeeperStage.Surveying(now), now)
-        recent.map { it.mapVersion }.distinct().size > 1 ->
+        else -> findMap(recent, now)
+    }
+}
+
+/** Decides by what the group's state shows of the orders that may still arrive. */
+private fun GroupKeeper.concludeUnfencedSurvey(
+    recent: List<RankReport>,
+    now: Instant
+): GroupKeeperStep {
+    val held = recent.count { it.heldStep != null }
+    val armed = recent.mapNotNull { it.armed }
+    val areAllArmed = armed.size == ranks && armed.distinct().size == 1
+    val last = recent.maxOf { maxOf(it.step + MAX_LEAD_STEPS, it.heldStep ?: 0) }
+    val surveyed = copy(usedStep = maxOf(usedStep, last))
+    return when {
+        armed.isEmpty() || (areAllArmed && held == 0) -> surveyed.findMap(recent, now)
+        // The release that completes the change may have been sent already.
+        areAllArmed && held < ranks -> surveyed.letGo(recent, now)
+        else -> surveyed.holdAndUndo(recent, now)
+    }
+}
+
+/** Releases the steps that are held in [reports]. */
+private fun GroupKeeper.letGo(reports: List<RankReport>, now: Instant): GroupKeeperStep {
+    val steps = reports.withIndex()
+        .mapNotNull { (rank, report) -> report.heldStep?.let { rank to it } }
+        .toMap()
+    return enter(KeeperStage.LettingGo(steps.toPersistentMap()), now)
+}
+
+/** Finds the map in use once no change is in progress. */
+private fun GroupKeeper.findMap(recent: List<RankReport>, now: Instant): GroupKeeperStep {
+    // Ranks are armed but none is held: all ranks are armed, and the switch is in progress.
+    val isSwitching = recent.any { it.armed != null }
+    return when {
+        isSwitching || recent.map { it.mapVersion }.distinct().size > 1 ->
             enter(KeeperStage.Surveying(now), now)
         recent.first().mapVersion == 0L -> {
             val initial = GroupMap.initial(placement.layers, ranks, placement.expertsPerLayer)
-            copy(map = initial).enter(KeeperStage.Settled, now)
+            copy(map = initial).settle(now)
         }
         else -> enter(KeeperStage.ReadingMap(askedAt = now), now)
     }
 }
 
+/** Ends the survey, once ranks refuse the orders of earlier keepers that may still arrive. */
+private fun GroupKeeper.settle(now: Instant): GroupKeeperStep {
+    val current = map
+    if (settings.areFencesChecked || current == null) return enter(KeeperStage.Settled, now)
+    if (!hasSuperseded) {
+        val version = nextVersion()
+        val superseding = KeeperStage.Superseding(version, current)
+        return copy(lastVersion = version).enter(superseding, now)
+    }
+    val latest = allRanks.mapNotNull { reports[it]?.report }
+    val isHeld = latest.any { it.heldStep != null }
+    return if (isHeld) letGo(latest, now) else enter(KeeperStage.Settled, now)
+}
+
 /** Makes all ranks refuse earlier orders that may still arrive, starting with the held ranks. */
 private fun GroupKeeper.undo(reports: List<RankReport>, now: Instant): GroupKeeperStep {
     val unused = nextVersion()
@@ -118,6 +165,19 @@
     return copy(fence = fence + 1, lastVersion = unused).enter(undoing, now)
 }
 
+/** Holds the step at all ranks that hold none, then disarms those that are armed. */
+private fun GroupKeeper.holdAndUndo(reports: List<RankReport>, now: Instant): GroupKeeperStep {
+    val step = reports.mapNotNull { it.heldStep }.minOrNull()
+        ?: reports.mapNotNull { it.armed?.step }.min()
+    val versions = reports.withIndex()
+        .mapNotNull { (rank, report) -> report.armed?.let { rank to it.version } }
+        .toMap()
+    val steps = reports.withIndex().filter { it.value.heldStep == null }
+        .associate { it.index to step }
+    val undoing = KeeperStage.Undoing(versions.toPersistentMap(), steps.toPersistentMap())
+    return copy(fence = fence + 1, hasSuperseded = false).enter(undoing, now)
+}
+
 /**
  * Surveys the group again if a rank is held or armed while no change is in progress; ignores
  * reports from before the last switch.
@@ -136,7 +196,7 @@
     val next = preparing.copy(prepared = preparing.prepared.add(rank))
     if (next.prepared.size < ranks) return Step(copy(stage = next))
     val holding = KeeperStage.Holding(preparing.version, preparing.map, nextStepToHold(now))
-    return copy(isDisarmed = false).enter(holding, now)
+    return copy(isDisarmed = false, hasSuperseded = false).enter(holding, now)
 }
 
 /**
@@ -150,7 +210,8 @@
 private fun GroupKeeper.nextStepToHold(now: Instant): Long {
     val wasOrderLost = now - lastUnansweredOrderAt < LOSS_WINDOW
     val leadSteps = pace.stepTime(now)?.let { (LOSS_LEAD_TIME / it).toInt() } ?: LOSS_LEAD_STEPS
-    return latestStep + 1 + if (wasOrderLost) leadSteps.coerceAtMost(LOSS_LEAD_STEPS) else 0
+    val next = latestStep + 1 + if (wasOrderLost) leadSteps.coerceAtMost(LOSS_LEAD_STEPS) else 0
+    return if (settings.areFencesChecked) next else maxOf(next, usedStep + 1)
 }
 
 /**
@@ -229,9 +290,9 @@
     return copy(demand = demand.plus(byLayer, now))
 }
 
-private fun GroupKeeper.onListed(event: GroupKeeperEvent.Listed): GroupKeeperStep {
-    val reading = stage as? KeeperStage.ReadingMap ?: return Step(this)
-    if (event.epoch != epoch) return Step(this)
+private fun GroupKeeper.onListed(event: GroupKeeperEvent.Listed, now: Instant): GroupKeeperStep {
+    val reading = stage as? KeeperStage.ReadingMap
+    if (reading == null || event.epoch != epoch) return Step(this)
     val known = reading.known.put(event.rank, event.experts)
     if (known.size < ranks) return Step(copy(stage = reading.copy(known = known)))
     val layers = List(placement.layers) { layer ->
@@ -239,8 +300,8 @@
     }
     val read = GroupMap(layers.toPersistentList())
     val isComplete = read.isComplete(placement.layers, ranks, placement.expertsPerLayer)
-    val next = if (isComplete) KeeperStage.Settled else KeeperStage.Surveying(reading.askedAt)
-    return Step(copy(map = read.takeIf { isComplete }, stage = next))
+    if (isComplete) return copy(map = read).settle(now)
+    return Step(copy(map = null, stage = KeeperStage.Surveying(reading.askedAt)))
 }
 
 private fun GroupKeeper.onAnswered(
@@ -262,7 +323,7 @@
     return when (event.outcome) {
         OrderOutcome.DONE -> logged.then { it.onDone(event.rank, event.order, now) }
         // The order is repeated until it is done.
-        OrderOutcome.BEGUN -> logged.map { it.recordBegun(event) }
+        OrderOutcome.BEGUN -> logged.then { it.onBegun(event, now) }
         OrderOutcome.CONFLICT -> logged.then { it.onConflict(event, now) }
         OrderOutcome.FENCED -> logged.map { it.copy(isFenced = true) }
         OrderOutcome.NO_ANSWER -> logged.then {
@@ -285,10 +346,25 @@
     return Step(copy(requestedAt = now), outstanding(now).toPersistentList())
 }
 
-private fun GroupKeeper.recordBegun(event: GroupKeeperEvent.Answered): GroupKeeper {
-    val preparing = stage as? KeeperStage.Preparing ?: return this
-    if (!event.order.isPrepareOf(preparing.version)) return this
-    return copy(stage = preparing.copy(begun = preparing.begun.add(event.rank)))
+private fun GroupKeeper.onBegun(event: GroupKeeperEvent.Answered, now: Instant): GroupKeeperStep {
+    val current = stage
+    return when {
+        current is KeeperStage.Preparing && event.order.isPrepareOf(current.version) ->
+            Step(copy(stage = current.copy(begun = current.begun.add(event.rank))))
+        current is KeeperStage.Superseding && event.order.isPrepareOf(current.version) ->
+            onSuperseded(current, event.rank, now)
+        else -> Step(this)
+    }
+}
+
+private fun GroupKeeper.onSuperseded(
+    superseding: KeeperStage.Superseding,
+    rank: Int,
+    now: Instant
+): GroupKeeperStep {
+    val next = superseding.copy(superseded = superseding.superseded.add(rank))
+    if (next.superseded.size < ranks) return Step(copy(stage = next))
+    return copy(hasSuperseded = true).settle(now)
 }
 
 private fun GroupKeeper.onDone(rank: Int, order: RankOrder, now: Instant): GroupKeeperStep {
@@ -296,6 +372,8 @@
     return when {
         current is KeeperStage.Preparing && order.isPrepareOf(current.version) ->
             onPrepared(current, rank, now)
+        current is KeeperStage.Superseding && order.isPrepareOf(current.version) ->
+            onSuperseded(current, rank, now)
         current is KeeperStage.Holding && order == RankOrder.Hold(current.step) ->
             enter(KeeperStage.Arming(current.version, current.map, current.step), now)
         current is KeeperStage.Arming &&
@@ -340,7 +418,7 @@
     now: Instant
 ): GroupKeeperStep {
     val next = undoing.copy(disarmed = undoing.disarmed.add(rank))
-    if (next.disarmed.size == ranks) {
+    if (next.disarmed.size == next.versionByRank.size) {
         return copy(isDisarmed = true).enter(KeeperStage.Surveying(now), now)
     }
     return Step(copy(stage = next))
@@ -364,6 +442,8 @@
             }
         current is KeeperStage.Preparing && event.order.isPrepareOf(current.version) ->
             enter(KeeperStage.Surveying(now), now)
+        current is KeeperStage.Superseding && event.order.isPrepareOf(current.version) ->
+            enter(KeeperStage.Surveying(now), now)
         current is KeeperStage.Arming &&
             event.order == RankOrder.Arm(current.version, current.step) ->
             enter(KeeperStage.Surveying(now), now)
@@ -381,6 +461,9 @@
 /** A step takes 50 to 100 ms and orders are repeated as often; few need a third attempt. */
 private const val LOSS_LEAD_STEPS = 3
 
+/** Steps between the last one that was begun and the furthest that a keeper holds. */
+private const val MAX_LEAD_STEPS = LOSS_LEAD_STEPS + 1
+
 /** Time for three attempts at an order; also [LOSS_LEAD_STEPS] steps of 150 ms. */
 private val LOSS_LEAD_TIME = 450.milliseconds
 
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperStages.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperStages.kt
@@ -26,6 +26,7 @@
 }
 
 private fun KeeperStage.detail(): String? = when (this) {
+    is KeeperStage.Superseding -> "version $version"
     is KeeperStage.Preparing -> "version $version"
     is KeeperStage.Holding -> "version $version step $step"
     is KeeperStage.Arming -> "version $version step $step"
@@ -53,6 +54,10 @@
     is KeeperStage.Surveying -> allRanks.map { GroupKeeperEffect.ReadReport(it) }
     is KeeperStage.ReadingMap ->
         allRanks.filter { it !in current.known }.map { GroupKeeperEffect.ReadMap(it) }
+    is KeeperStage.Superseding -> {
+        val order = RankOrder.Prepare(current.version, current.map)
+        allRanks.filter { it !in current.superseded }.map { sendOrder(it, order) }
+    }
     is KeeperStage.Settled -> emptyList()
     is KeeperStage.Preparing -> outstandingPrepares(current, now)
     is KeeperStage.Holding -> {
@@ -75,8 +80,8 @@
         if (open.isNotEmpty()) {
             open.map { (rank, step) -> sendOrder(rank, RankOrder.Hold(step)) }
         } else {
-            allRanks.filter { it !in current.disarmed }
-                .map { sendOrder(it, RankOrder.Disarm(current.versionByRank.getValue(it))) }
+            current.versionByRank.filterKeys { it !in current.disarmed }
+                .map { (rank, version) -> sendOrder(rank, RankOrder.Disarm(version)) }
         }
     }
     is KeeperStage.LettingGo ->
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
@@ -74,8 +74,8 @@
 }
 
 internal fun KeeperStage.givesOrders(): Boolean = when (this) {
-    is KeeperStage.Holding, is KeeperStage.Arming, is KeeperStage.Releasing,
-    is KeeperStage.Undoing, is KeeperStage.LettingGo -> true
+    is KeeperStage.Superseding, is KeeperStage.Holding, is KeeperStage.Arming,
+    is KeeperStage.Releasing, is KeeperStage.Undoing, is KeeperStage.LettingGo -> true
     else -> false
 }
 
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperFuzz.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/GroupKeeperFuzz.kt
@@ -16,15 +16,23 @@
 /**
  * Random faults between keepers and ranks: orders that are lost, delayed or reordered, restarted
  * ranks, suspended keepers, and hand-overs to the next keeper.
+ *
+ * Where ranks check no fences, a keeper ends before the next one begins, and only its orders that
+ * have not arrived yet may still be executed.
  */
 class GroupKeeperFuzz {
     @Nested
-    inner class AGroup {
+    inner class AGroupThatChecksFences : AGroup(areFencesChecked = true)
+
+    @Nested
+    inner class AGroupThatChecksNoFences : AGroup(areFencesChecked = false)
+
+    abstract class AGroup(private val areFencesChecked: Boolean) {
         @Test
         fun `never begins a step with two maps`() {
             val switches = seeds.sumOf { seed ->
                 try {
-                    KeeperSimulation(seed).runWithFaults()
+                    KeeperSimulation(seed, areFencesChecked).runWithFaults()
                 } catch (e: AssertionError) {
                     throw AssertionError("seed $seed: ${e.message}", e)
                 }
@@ -35,7 +43,7 @@
         @Test
         fun `continues its steps after the last fault`() {
             for (seed in seeds) {
-                val simulation = KeeperSimulation(seed)
+                val simulation = KeeperSimulation(seed, areFencesChecked)
                 simulation.runWithFaults()
                 assertTrue(
                     simulation.progressesWithoutFaults(),
@@ -65,14 +73,17 @@
 private const val RANKS = 3
 
 /** One run with a seed: a rank group, its keepers, and the messages in flight between them. */
-private class KeeperSimulation(seed: Long) {
+private class KeeperSimulation(seed: Long, private val areFencesChecked: Boolean) {
     private val random = Random(seed)
-    private val group = FakeRankGroup(RANKS)
+    private val group = FakeRankGroup(RANKS, areFencesChecked)
     private var now = Instant.fromEpochMilliseconds(1_000_000)
     private val scheduled = PriorityQueue<ScheduledAction>(compareBy { it.at })
     private val keepers = mutableListOf<KeeperProcess>()
     private var term = 0L
     private var isFaultFree = false
+
+    /** Whether the group has no requests and so begins no steps. */
+    private var isIdle = false
     private val lossRate = random.nextDouble(0.0, 0.4)
 
     /** Whether reports come fresh through relays; without relays they show an older state. */
@@ -83,6 +94,7 @@
     /** A keeper, which may still run after the next keeper has started. */
     private class KeeperProcess(var state: GroupKeeper) {
         var suspendedUntil = Instant.DISTANT_PAST
+        var hasEnded = false
     }
 
     fun runWithFaults(): Int {
@@ -100,6 +112,7 @@
 
     fun progressesWithoutFaults(): Boolean {
         isFaultFree = true
+        isIdle = false
         replaceKeeper()
         repeat(RECOVERY_STEPS) { advance() }
         val before = group.step
@@ -109,8 +122,9 @@
 
     private fun advance() {
         now += TICK
+        if (random.nextInt(100) == 0) isIdle = !isFaultFree && random.nextBoolean()
         while (scheduled.isNotEmpty() && scheduled.peek().at <= now) scheduled.poll().run()
-        if (random.nextInt(2) == 0) group.runStep()
+        if (!isIdle && random.nextInt(2) == 0) group.runStep()
         for (keeper in keepers.toList()) {
             if (keeper.suspendedUntil <= now) reduce(keeper, GroupKeeperEvent.Tick)
         }
@@ -128,15 +142,17 @@
                 countInterval = 500.milliseconds,
                 popularityHalfLife = 1.seconds,
                 maxLoadsPerRank = 2,
-                minGain = 0.01
+                minGain = 0.01,
+                areFencesChecked = areFencesChecked
             ),
             stage = KeeperStage.Surveying(now)
         )
         keepers += KeeperProcess(keeper)
-        if (keepers.size > 2) keepers.removeAt(0)
+        if (keepers.size > (if (areFencesChecked) 2 else 1)) keepers.removeAt(0).hasEnded = true
     }
 
     private fun reduce(keeper: KeeperProcess, event: GroupKeeperEvent) {
+        if (keeper.hasEnded && !areFencesChecked) return
         val step = keeper.state.on(event, now)
         keeper.state = step.state
         step.effects.forEach { perform(keeper, it) }
@@ -172,38 +188,33 @@
     private fun sendOrder(keeper: KeeperProcess, effect: GroupKeeperEffect.SendOrder) {
         val isLost = !isFaultFree && random.nextDouble() < lossRate
         if (!isLost) {
-            answer(keeper, 5.milliseconds) {
-                val outcome = group.execute(effect.rank, effect.order, effect.epoch, effect.fence)
-                GroupKeeperEvent.Answered(
-                    effect.rank,
-                    effect.epoch,
-                    effect.fence,
-                    effect.order,
-                    outcome
-                )
-            }
+            answer(keeper, 5.milliseconds) { answered(effect, execute(effect)) }
             return
         }
-        // No answer comes; the order is carried out seconds later or never.
-        if (random.nextBoolean()) {
-            schedule((2_000 + random.nextInt(10_000)).milliseconds) {
-                group.execute(effect.rank, effect.order, effect.epoch, effect.fence)
-            }
-        }
-        schedule(200.milliseconds) {
-            reduce(
-                keeper,
-                GroupKeeperEvent.Answered(
-                    effect.rank,
-                    effect.epoch,
-                    effect.fence,
-                    effect.order,
-                    OrderOutcome.NO_ANSWER
-                )
-            )
+        // No answer comes; the order is carried out at once, seconds later or never.
+        when (random.nextInt(4)) {
+            0 -> schedule(5.milliseconds) { execute(effect) }
+            1, 2 -> schedule((2_000 + random.nextInt(10_000)).milliseconds) { execute(effect) }
         }
+        schedule(200.milliseconds) { reduce(keeper, answered(effect, OrderOutcome.NO_ANSWER)) }
     }
 
+    private fun execute(effect: GroupKeeperEffect.SendOrder): OrderOutcome = group.execute(
+        effect.rank,
+        effect.order,
+        effect.epoch,
+        effect.fence
+    )
+
+    private fun answered(effect: GroupKeeperEffect.SendOrder, outcome: OrderOutcome) =
+        GroupKeeperEvent.Answered(
+            effect.rank,
+            effect.epoch,
+            effect.fence,
+            effect.order,
+            outcome
+        )
+
     private fun answer(keeper: KeeperProcess, delay: Duration, event: () -> GroupKeeperEvent) {
         schedule(delay * random.nextDouble(0.5, 2.0)) {
             val seen = event()
--- a/core/src/test/kotlin/org/shallotplank/core/expertmap/fake/FakeRankGroup.kt
+++ b/core/src/test/kotlin/org/shallotplank/core/expertmap/fake/FakeRankGroup.kt
@@ -20,6 +20,7 @@
         var armed: ArmedMap? = null
         var held: Long? = null
         var fence = 0L
+        var orderCount = 0L
     }
 
     private var members = List(ranks) { Rank() }
@@ -31,6 +32,7 @@
         private set
     var switches = 0
         private set
+    private var version = 0L
 
     val isHeld: Boolean get() = members.any { it.held == step + 1 }
 
@@ -46,7 +48,8 @@
         }
         val versions = members.map { it.version }.distinct()
         assertEquals(1, versions.size, "step $step of epoch $epoch began with maps $versions")
-        switches = maxOf(switches, members.first().version.toInt())
+        if (members.first().version != version) switches++
+        version = members.first().version
     }
 
     /** Re-forms the group with a new epoch, as after the restart of a rank. */
@@ -56,7 +59,15 @@
     }
 
     fun report(rank: Int): RankReport = members[rank].let {
-        RankReport(epoch, isFormed = true, step, it.version, it.prepared, it.armed, it.held)
+        RankReport(
+            epoch = epoch,
+            isFormed = true,
+            step = step,
+            mapVersion = it.version,
+            preparedVersion = it.prepared,
+            armed = it.armed,
+            heldStep = it.held
+        )
     }
 
     fun experts(rank: Int, initial: GroupMap): Pair<Long, List<List<Int>>> {
@@ -65,6 +76,9 @@
         return version to map.layers.map { it[rank] }
     }
 
+    /** The number of orders that began something at [rank]. */
+    fun orderCount(rank: Int): Long = members[rank].orderCount
+
     /** Carries out an order and returns its outcome. */
     fun execute(rank: Int, order: RankOrder, orderEpoch: Long, fence: Long): OrderOutcome {
         val member = members[rank]
@@ -76,10 +90,7 @@
             is RankOrder.Arm -> member.arm(order)
             is RankOrder.Disarm -> member.disarm(order)
             is RankOrder.Hold -> member.hold(order)
-            is RankOrder.Release -> {
-                if (member.held == order.step) member.held = null
-                true
-            }
+            is RankOrder.Release -> member.release(order)
         }
         return if (fits) OrderOutcome.DONE else OrderOutcome.CONFLICT
     }
@@ -90,18 +101,25 @@
         mapByVersion[order.version] = order.map
         highestVersion = order.version
         prepared = order.version
+        orderCount++
         return true
     }
 
     private fun Rank.arm(order: RankOrder.Arm): Boolean {
+        val next = ArmedMap(order.version, order.step)
+        if (armed == next) return true
         if (prepared != order.version || order.step <= step) return false
-        armed = ArmedMap(order.version, order.step)
+        armed = next
+        orderCount++
         return true
     }
 
     private fun Rank.disarm(order: RankOrder.Disarm): Boolean {
         if (version == order.version) return false
-        if (armed?.version == order.version) armed = null
+        if (armed?.version == order.version) {
+            armed = null
+            orderCount++
+        }
         return true
     }
 
@@ -109,6 +127,15 @@
         if (held == order.step) return true
         if (held != null || order.step <= step) return false
         held = order.step
+        orderCount++
+        return true
+    }
+
+    private fun Rank.release(order: RankOrder.Release): Boolean {
+        if (held == order.step) {
+            held = null
+            orderCount++
+        }
         return true
     }
 }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -315,7 +315,7 @@
             fence = fence,
             ranks = group.ranks.size,
             placement = group.placement,
-            settings = settingsFor(group.placement, group.ranks.size),
+            settings = settingsFor(group),
             stage = KeeperStage.Surveying(context.clock.now())
         )
         running[name] =
@@ -331,6 +331,15 @@
             )
     }
 
+    private fun settingsFor(group: KnownGroup) = GroupKeeperSettings(
+        sampledRanks = group.ranks.size.coerceAtMost(MAX_SAMPLES),
+        countInterval = COUNT_INTERVAL,
+        popularityHalfLife = POPULARITY_HALF_LIFE,
+        maxLoadsPerRank = loadsWithin(COPY_TIME, group.placement),
+        minGain = MIN_GAIN,
+        areFencesChecked = context.guard.areFencesChecked
+    )
+
     private fun knownGroups(): Map<String, KnownGroup> {
         val state = context.state()
         val members = state.upstreams.values.filter {
@@ -384,14 +393,6 @@
         /** The row may lag behind the serving entries, since the group has a keeper meanwhile. */
         private val RENEWAL_INTERVAL = 3.seconds
 
-        private fun settingsFor(placement: PlacementProfile, ranks: Int) = GroupKeeperSettings(
-            sampledRanks = ranks.coerceAtMost(MAX_SAMPLES),
-            countInterval = COUNT_INTERVAL,
-            popularityHalfLife = POPULARITY_HALF_LIFE,
-            maxLoadsPerRank = loadsWithin(COPY_TIME, placement),
-            minGain = MIN_GAIN
-        )
-
         /** Requests are spread at random, so this many ranks represent the whole group. */
         private const val MAX_SAMPLES = 16
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/RunningKeeper.kt
@@ -50,7 +50,8 @@
     /** Whether a change is in progress, so that ranks may have received orders of it. */
     val isChanging: Boolean
         get() = when (state.stage) {
-            is KeeperStage.Settled, is KeeperStage.Surveying, is KeeperStage.ReadingMap -> false
+            is KeeperStage.Settled, is KeeperStage.Surveying, is KeeperStage.ReadingMap,
+            is KeeperStage.Superseding -> false
             else -> !state.isFenced
         }
 
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperFleet.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperFleet.kt
@@ -77,6 +77,7 @@
     private var nextDemandAt = now
     private var nextStepAt = now
     private val copyingSince = HashMap<Pair<RankAddress, Long>, Instant>()
+    private val termByRank = HashMap<RankAddress, Long>()
     private var highestTermSent = 0L
     private var lastSender: String? = null
 
@@ -399,14 +400,14 @@
                 val isLost = random.nextDouble() < lateRate
                 if (isLost) {
                     schedule(random.nextInt(2_000, 12_000).milliseconds) {
-                        group.execute(rank.number, order, epoch, fence)
+                        execute(rank, order, epoch, fence)
                     }
                     schedule(ORDER_TIMEOUT) {
                         answer(sender) { reply.complete(OrderOutcome.NO_ANSWER) }
                     }
                 } else {
                     schedule(CALL_TIME) {
-                        val outcome = group.execute(rank.number, order, epoch, fence)
+                        val outcome = execute(rank, order, epoch, fence)
                         val seen = if (isCopying(rank, order)) OrderOutcome.BEGUN else outcome
                         answer(sender) { reply.complete(seen) }
                     }
@@ -418,6 +419,23 @@
                 if (process == asked) whenAwake(complete)
             }
 
+            /** Executes the order; may begin something only under the last term at the rank. */
+            private fun execute(
+                rank: RankAddress,
+                order: RankOrder,
+                epoch: Long,
+                fence: Long
+            ): OrderOutcome {
+                val before = group.orderCount(rank.number)
+                val outcome = group.execute(rank.number, order, epoch, fence)
+                if (group.orderCount(rank.number) == before) return outcome
+                val term = fence / GroupKeeper.FENCES_PER_LEASE
+                val last = termByRank[rank] ?: 0
+                if (term < last) violation = "$order of term $term is executed after one of $last"
+                termByRank[rank] = maxOf(term, last)
+                return outcome
+            }
+
             /** Whether the rank still copies experts for the map of [order]. */
             private fun isCopying(rank: RankAddress, order: RankOrder): Boolean {
                 if (order !is RankOrder.Prepare) return false
