Report no group as left whose lease has been claimed again

What callers saw: nothing so far; found by holding each path to an order against the invariant that one process at a time gives orders to a group whose ranks check no fences.

An entry that had kept a group, claimed its lease again later and then stopped before it had begun to keep it, reported the group as left. The next holder then started at once, although the holder before the two could still issue orders for up to four seconds.

Cause: the time at which the entry had ended its keeper under an earlier term was kept. A claim now removes it. The test failed before: e2 and e3 are active at the same time.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -91,8 +91,8 @@
      * Groups that this process has kept and will not keep again, because it is stopping.
      *
      * A group appears only after [MAX_ORDER_TIME], when no order for it is in flight. A group whose
-     * lease this entry holds but which it has not begun to keep is not included, since the previous
-     * holder may still issue orders for it.
+     * lease this entry has claimed since but which it has not begun to keep again is not included,
+     * since the previous holder may still issue orders for it.
      */
     val relinquishedGroups: List<String>
         get() {
@@ -271,6 +271,8 @@
     private fun claim(name: String, lease: GroupLease?, now: Instant) {
         val last = claimedAt[name]
         if (last != null && now - last < CLAIM_INTERVAL) return
+        // The previous holder may still issue orders when this entry stops before it has begun.
+        endedAt -= name
         val highestTerm = maxOf(
             lease?.term ?: 0,
             observedLease(name).highestTerm,
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -228,6 +228,32 @@
         }
     }
 
+    /** Guards against two keepers when an entry reports as left what it kept under an earlier term. */
+    @Nested
+    inner class AnEntryThatKeptTheGroupBefore {
+        @Test
+        fun `hands over no lease that it has claimed again and not begun to keep`() {
+            advance(3.seconds)
+            val first = checkNotNull(keeper())
+            first.stop()
+            advance(1.seconds)
+            val second = checkNotNull(keeper())
+            val third = entries.single { it != first && it != second }
+            first.isStopping = false
+            third.stop()
+            advance(1.seconds)
+            second.cutOff()
+            advance(1.seconds)
+            assertTrue(holder()?.contains(first.own.instance) == true)
+            third.isStopping = false
+            first.stop()
+            repeat(40) {
+                advance(50.milliseconds)
+                keeper()
+            }
+        }
+    }
+
     /** Guards against terms given out twice, and holders that the store has lost. */
     @Nested
     inner class AStoreThatIsRestored {
