Add up short suspensions of a machine in the lease guard

Seen: nothing so far; found by holding each path against the invariant of one keeper.

The guard compared the offset between the steady and the wall clock with that of its previous call. A machine that stands still often, each time for less than 300 ms, was taken for one that runs, so that its 4 s of validity lasted longer than the 5 s after which the next holder starts.

The offset is now compared with one that is up to 4 s old. The test failed before.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseGuard.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseGuard.kt
@@ -21,6 +21,7 @@
     private val wallClock: Clock
 ) {
     private var clockOffset: Duration = wallClock.now() - clock.now()
+    private var offsetReadAt: Instant = clock.now()
     private var lastSuspensionAt: Instant = Instant.DISTANT_PAST
 
     /**
@@ -47,12 +48,17 @@
     /**
      * Records a suspension when the offset between the clocks changes.
      *
-     * A jump of the wall clock is recorded as a suspension too, which is harmless.
+     * Short suspensions add up within [VALIDITY]. A jump of the wall clock is recorded as a
+     * suspension too, which is harmless.
      */
     private fun detectSuspension(now: Instant) {
         val currentOffset = wallClock.now() - now
-        if ((currentOffset - clockOffset).absoluteValue > MAX_OFFSET_CHANGE) lastSuspensionAt = now
-        clockOffset = currentOffset
+        val isSuspended = (currentOffset - clockOffset).absoluteValue > MAX_OFFSET_CHANGE
+        if (isSuspended) lastSuspensionAt = now
+        if (isSuspended || now - offsetReadAt >= VALIDITY) {
+            clockOffset = currentOffset
+            offsetReadAt = now
+        }
     }
 
     internal companion object {
@@ -65,7 +71,7 @@
         /** [VALIDITY] plus one second for orders in flight. */
         val TAKEOVER_DELAY: Duration = VALIDITY + 1.seconds
 
-        /** Far above the change of the clock offset between two ticks without a suspension. */
+        /** Far above the change of the clock offset within [VALIDITY] without a suspension. */
         private val MAX_OFFSET_CHANGE = 300.milliseconds
     }
 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -228,7 +228,7 @@
         }
     }
 
-    /** Guards against two keepers when an entry reports as left what it kept under an earlier term. */
+    /** Guards against two keepers when an entry reports as left what it kept in an earlier term. */
     @Nested
     inner class AnEntryThatKeptTheGroupBefore {
         @Test
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/LeaseGuardTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/LeaseGuardTest.kt
@@ -62,6 +62,17 @@
             assertTrue(guard.mayIssueOrders())
         }
 
+        /** Guards against a holder whose clock stands still often, each time only for a moment. */
+        @Test
+        fun `short suspensions add up`() {
+            repeat(12) {
+                guard.mayIssueOrders()
+                advance(50.milliseconds)
+                wallAt += 200.milliseconds
+            }
+            assertFalse(guard.mayIssueOrders())
+        }
+
         @Test
         fun `the next holder starts after the previous holder has stopped issuing orders`() {
             val firstSeenAt = steadyAt
