Shorten the wait of the next lease holder only if the previous one had begun

Seen: nothing so far; found by holding each path against the invariant of one keeper.

A holder that has restarted gives no more orders, and the next holder started at once. But the one that has restarted may only have claimed the lease: the holder before it, cut off from the store and the other entries, could still issue orders for up to four seconds.

A restart now shortens the wait only if the holder had begun to keep the group. It costs one write to the store for each new holder. The test failed before: e1 and e3 are active at the same time.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/GroupKeeping.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/GroupKeeping.kt
@@ -117,7 +117,8 @@
         replica = { entryTable().replica },
         replicaReadAt = { entryTable().answeredAt },
         confirmations = ::confirmations,
-        hasRelinquished = ::hasRelinquished,
+        hasLeft = { candidate, group -> reports().hasLeft(candidate, group) },
+        hasRestarted = ::hasRestarted,
         guard = guard,
         delegateHold = ::delegateHold,
         clock = environment.clock,
@@ -129,9 +130,7 @@
         return reports().confirmations(group, others)
     }
 
-    /** True if the candidate reports it, or if a later incarnation of its instance is known. */
-    private fun hasRelinquished(candidate: KeeperCandidate, group: String): Boolean {
-        if (reports().hasLeft(candidate, group)) return true
+    private fun hasRestarted(candidate: KeeperCandidate): Boolean {
         val known = reports().incarnationsOf(candidate.instance) + listOfNotNull(
             registeredIncarnation(candidate.instance),
             own.incarnation.takeIf { candidate.instance == own.instance }
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -39,8 +39,10 @@
     val replicaReadAt: () -> Instant,
     /** Reports of a group's lease by the other registered entries, null without a live report. */
     val confirmations: (group: String) -> List<LeaseConfirmation?>,
-    /** Whether the candidate is known never to issue orders for the group again. */
-    val hasRelinquished: (KeeperCandidate, group: String) -> Boolean,
+    /** Whether the candidate reports that it has kept the group and never will again. */
+    val hasLeft: (KeeperCandidate, group: String) -> Boolean,
+    /** Whether a later incarnation of the candidate's instance is known. */
+    val hasRestarted: (KeeperCandidate) -> Boolean,
     val guard: LeaseGuard,
     /** Has another entry send a hold; returns the outcome that it reports. */
     val delegateHold: suspend (DelegatedHold) -> OrderOutcome,
@@ -184,12 +186,14 @@
     }
 
     /**
-     * Removes the deputies from [lease] where ranks do not check fences.
+     * Removes the deputies other than the holder from [lease] where ranks do not check fences.
      *
      * Such ranks cannot distinguish the orders of a deputy from those of the lease holder.
      */
-    private fun withAllowedDeputies(lease: GroupLease): GroupLease =
-        if (context.guard.areFencesChecked) lease else lease.copy(deputies = emptyList())
+    private fun withAllowedDeputies(lease: GroupLease): GroupLease {
+        if (context.guard.areFencesChecked) return lease
+        return if (lease.isEstablished) lease.established() else lease.copy(deputies = emptyList())
+    }
 
     private fun observedLease(name: String): ObservedLease =
         observedLeases.getOrPut(name) { ObservedLease(context.own) }
@@ -198,14 +202,28 @@
         val heldLease = observedLease(name).held ?: return context.guard.areFencesChecked
         if (!mayIssueOrders(name, heldLease.term)) return false
         if (!heldLease.isTakeoverAllowed) {
-            val isPreviousHolderGone = heldLease.isPreviousHolderKnown &&
-                heldLease.previousHolder?.let { context.hasRelinquished(it, name) } ?: true
-            heldLease.isTakeoverAllowed =
-                context.guard.mayTakeOver(heldLease.firstSeenAt, isPreviousHolderGone)
+            heldLease.isTakeoverAllowed = context.guard.mayTakeOver(
+                firstSeenAt = heldLease.firstSeenAt,
+                isPreviousHolderGone = heldLease.isPreviousKnown && isPreviousGone(name, heldLease)
+            )
         }
         return heldLease.isTakeoverAllowed
     }
 
+    /**
+     * Whether neither the previous holder nor any before it issues orders.
+     *
+     * A holder that reports that it has left had begun to keep the group, after all holders before
+     * it. One that has restarted may not have: a holder before it may then still issue orders.
+     */
+    private fun isPreviousGone(name: String, heldLease: HeldLease): Boolean {
+        val previous = heldLease.previous ?: return true
+        if (context.hasLeft(previous.leaseHolder, name)) return true
+        val hadBegun = previous.isEstablished ||
+            context.guard.hasTakeoverDelayPassed(heldLease.previousSeenAt)
+        return hadBegun && context.hasRestarted(previous.leaseHolder)
+    }
+
     /** Stops keeping the group, even during a change: another entry may already keep it. */
     private fun stopNow(name: String) {
         val keeper = running.remove(name) ?: return
@@ -240,17 +258,20 @@
     /**
      * Updates the lease row to match the entries that serve.
      *
-     * The lease holder updates the list of deputies. A deputy that keeps the group in place of the
-     * holder claims the lease once no change is in progress.
+     * The lease holder updates the list of deputies; where ranks check no fences, it shows that it
+     * has begun. A deputy that keeps the group in place of the holder claims the lease once no
+     * change is in progress.
      */
     private fun renew(name: String, lease: GroupLease, now: Instant) {
+        val areFencesChecked = context.guard.areFencesChecked
         val last = claimedAt[name]
-        if (last != null && now - last < RENEWAL_INTERVAL) return
+        val interval = if (areFencesChecked) RENEWAL_INTERVAL else CLAIM_INTERVAL
+        if (last != null && now - last < interval) return
         if (!lease.isHeldBy(context.own)) {
             if (running[name]?.isSettled == true) claim(name, lease, now)
             return
         }
-        val next = withAllowedDeputies(lease.withDeputies(serving))
+        val next = if (areFencesChecked) lease.withDeputies(serving) else lease.established()
         if (next != lease) write(name, lease, next, now)
     }
 
@@ -266,7 +287,8 @@
     private fun mayClaimFrom(lease: GroupLease?, name: String, now: Instant): Boolean =
         lease == null ||
             now - context.state().readySince >= PEER_DISCOVERY_TIME ||
-            context.hasRelinquished(lease.leaseHolder, name)
+            context.hasLeft(lease.leaseHolder, name) ||
+            context.hasRestarted(lease.leaseHolder)
 
     private fun claim(name: String, lease: GroupLease?, now: Instant) {
         val last = claimedAt[name]
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupLease.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupLease.kt
@@ -37,6 +37,17 @@
 ) {
     val leaseHolder: KeeperCandidate get() = KeeperCandidate(holder, incarnation)
 
+    /**
+     * Whether the holder has begun to keep the group, so that no earlier holder issues orders.
+     *
+     * Shown by the holder among its own deputies, which builds that do not know this ignore.
+     */
+    val isEstablished: Boolean get() = deputies.any { it.candidate == leaseHolder }
+
+    /** The lease once its holder has begun to keep a group without other deputies. */
+    fun established(): GroupLease =
+        copy(deputies = listOf(GroupDeputy(holder, incarnation, slot = 1)))
+
     /** Whether the lease was claimed in [era] of the store or later. */
     fun isOfEra(era: Long): Boolean = term > lastTermBefore(era)
 
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseGuard.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/LeaseGuard.kt
@@ -43,7 +43,11 @@
 
     /** Whether a holder that first saw its own row at [firstSeenAt] may start to keep its group. */
     fun mayTakeOver(firstSeenAt: Instant, isPreviousHolderGone: Boolean): Boolean =
-        areFencesChecked || isPreviousHolderGone || clock.now() - firstSeenAt >= TAKEOVER_DELAY
+        isPreviousHolderGone || hasTakeoverDelayPassed(firstSeenAt)
+
+    /** Whether no holder before the lease that was first seen at [firstSeenAt] issues orders. */
+    fun hasTakeoverDelayPassed(firstSeenAt: Instant): Boolean =
+        areFencesChecked || clock.now() - firstSeenAt >= TAKEOVER_DELAY
 
     /**
      * Records a suspension when the offset between the clocks changes.
--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/ObservedLease.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/ObservedLease.kt
@@ -16,7 +16,8 @@
     var held: HeldLease? = null
         private set
 
-    private var lastHolder: KeeperCandidate? = null
+    private var lastLease: GroupLease? = null
+    private var lastLeaseSeenAt: Instant = Instant.DISTANT_PAST
     private var confirmedTerm: Long? = null
     private var lastConfirmedAt: Instant = Instant.DISTANT_PAST
 
@@ -33,7 +34,8 @@
         if (lastEra == null && !isEnded) lastEra = era
         term = lease?.term
         recordHeld(lease, era, now)
-        lastHolder = lease?.leaseHolder
+        if (lease?.term != lastLease?.term) lastLeaseSeenAt = now
+        lastLease = lease
         if (lease == null) return
         highestTerm = maxOf(highestTerm, lease.term)
         lastEra = era
@@ -57,8 +59,9 @@
             held = HeldLease(
                 term = lease.term,
                 firstSeenAt = now,
-                previousHolder = lastHolder,
-                isPreviousHolderKnown = lastEra == era
+                previous = lastLease,
+                previousSeenAt = lastLeaseSeenAt,
+                isPreviousKnown = lastEra == era
             )
         }
     }
@@ -67,15 +70,16 @@
 /**
  * A lease that this entry holds.
  *
- * @property previousHolder the holder that the entry observed before, null if there was none.
- * @property isPreviousHolderKnown false if a restored store may have lost holders after
- *   [previousHolder].
+ * @property previous the lease that the entry observed before, null if there was none.
+ * @property previousSeenAt when the entry first observed [previous].
+ * @property isPreviousKnown false if a restored store may have lost leases after [previous].
  */
 internal class HeldLease(
     val term: Long,
     val firstSeenAt: Instant,
-    val previousHolder: KeeperCandidate?,
-    val isPreviousHolderKnown: Boolean
+    val previous: GroupLease?,
+    val previousSeenAt: Instant,
+    val isPreviousKnown: Boolean
 ) {
     /**
      * Whether this entry may keep the group after the previous holder.
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/GroupLeaseTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/GroupLeaseTest.kt
@@ -6,6 +6,7 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
+import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Nested
 import org.shallotplank.gateway.group.GroupLease
 import org.shallotplank.gateway.group.KeeperCandidate
@@ -23,6 +24,29 @@
     private val all = listOf(first, second, third)
     private val lease = GroupLease("e1", 11, term = 3).withDeputies(all)
 
+    /** Guards against rows that builds which do not know of this read as another lease. */
+    @Nested
+    inner class OnceTheHolderHasBegun {
+        private val claimed = GroupLease("e1", 11, term = 3)
+        private val row =
+            """{"holder":"e1","incarnation":11,"term":3,"deputies":[""" +
+                """{"instance":"e1","incarnation":11,"slot":1}]}"""
+
+        @Test
+        fun `the row names the holder as its own deputy`() {
+            assertEquals(row, Json.encodeToString(claimed.established()))
+            assertTrue(Json.decodeFromString<GroupLease>(row).isEstablished)
+            assertFalse(claimed.isEstablished)
+        }
+
+        @Test
+        fun `its fencing number stays and nobody else keeps the group`() {
+            val established = claimed.established()
+            assertEquals(claimed.fenceOf(first, all), established.fenceOf(first, all))
+            assertNull(established.fenceOf(second, listOf(second)))
+        }
+    }
+
     @Nested
     inner class WhileTheHolderServes {
         @Test
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperFleet.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperFleet.kt
@@ -341,9 +341,9 @@
             confirmations = { group ->
                 reports().confirmations(group, (entries - this).map { it.name })
             },
-            hasRelinquished = { candidate, group ->
-                reports().hasLeft(candidate, group) ||
-                    reports().incarnationsOf(candidate.instance).any { it > candidate.incarnation }
+            hasLeft = { candidate, group -> reports().hasLeft(candidate, group) },
+            hasRestarted = { candidate ->
+                reports().incarnationsOf(candidate.instance).any { it > candidate.incarnation }
             },
             guard = guard,
             delegateHold = { OrderOutcome.NO_ANSWER },
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -216,6 +216,23 @@
             assertTrue(keeper() != null && keeper() != first)
         }
 
+        /** Guards against a restart that shows only that the last holder of the lease has ended. */
+        @Test
+        fun `is not replaced early if the entry that claimed its lease restarts`() {
+            advance(3.seconds)
+            val first = checkNotNull(keeper())
+            first.cutOff()
+            advance(1.seconds)
+            val second = entries.single { holder()?.contains(it.own.instance) == true }
+            assertTrue(second != first)
+            second.isRunning = false
+            second.hasRestarted = true
+            repeat(40) {
+                advance(50.milliseconds)
+                keeper()
+            }
+        }
+
         @Test
         fun `is not replaced early if the entry that claimed its lease stops`() {
             advance(3.seconds)
@@ -324,8 +341,11 @@
                 replica = { lastRead ?: store.replica },
                 replicaReadAt = { cutOffAt ?: now },
                 confirmations = { emptyList() },
-                hasRelinquished = { candidate, group ->
-                    entries.any { it.own == candidate && it.isKnownToHaveRelinquished(group) }
+                hasLeft = { candidate, group ->
+                    entries.any { it.own == candidate && it.isKnownToHaveLeft(group) }
+                },
+                hasRestarted = { candidate ->
+                    entries.any { it.own == candidate && it.hasRestarted }
                 },
                 guard = LeaseGuard(
                     areFencesChecked = false,
@@ -352,8 +372,8 @@
             lastRead = TableReplica().also { it.replace(store.copy()) }
         }
 
-        fun isKnownToHaveRelinquished(group: String): Boolean =
-            hasRestarted || (isReachable && group in keepers.relinquishedGroups)
+        fun isKnownToHaveLeft(group: String): Boolean =
+            isReachable && group in keepers.relinquishedGroups
 
         fun isActive(now: Instant): Boolean = now - port.lastCallAt < 250.milliseconds
 
