--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -174,32 +174,41 @@
             port.gate.complete(Unit)
             assertEquals(calls, port.calls)
         }
+    }
 
-        private fun running(port: RankPort) = RunningKeeper(
-            initial = GroupKeeper(
-                group = "g",
-                fence = 1,
-                ranks = 2,
-                placement = placement,
-                settings = GroupKeeperSettings(
-                    sampledRanks = 2,
-                    countInterval = 150.milliseconds,
-                    popularityHalfLife = 400.milliseconds,
-                    maxLoadsPerRank = 2,
-                    minGain = 0.05
-                ),
-                stage = KeeperStage.Surveying(now)
-            ),
-            ranks = upstreams.associate {
-                checkNotNull(it.record.group).rank to RankAddress(it.record.id, it.record.address)
-            },
-            port = port,
-            scope = CoroutineScope(Dispatchers.Unconfined),
-            clock = clock,
-            mayIssueOrders = { true },
-            delegateHold = { OrderOutcome.NO_ANSWER },
-            log = {}
-        )
+    /** Guards against orders under a new fencing number while those of the last one may arrive. */
+    @Nested
+    inner class AKeeperUnderANewFence {
+        @Test
+        fun `continues only while no change is in progress`() {
+            val keeper = running(CountingPort())
+            assertTrue(!keeper.continueUnder(fence = 20_000), "continued during the survey")
+
+            keeper.tick(now, pauses = null)
+            now += 200.milliseconds
+            keeper.tick(now, pauses = null)
+            assertTrue(keeper.continueUnder(fence = 20_000))
+            assertEquals(2, keeper.term)
+        }
+    }
+
+    /** Guards against a holder that begins by the time of its claim, or by the answer to it. */
+    @Nested
+    inner class AClaim {
+        @Test
+        fun `counts from when its row is read, whatever the answer to it`() {
+            advance(3.seconds)
+            val first = checkNotNull(keeper())
+            first.cutOff()
+            advance(1.seconds)
+            val second = entries.single { holder()?.contains(it.own.instance) == true }
+            assertTrue(second != first)
+            val seenAt = now
+            repeat(76) {
+                advance(50.milliseconds)
+                assertTrue(!second.isActive(now), "active ${now - seenAt} after its claim")
+            }
+        }
     }
 
     @Nested
@@ -318,6 +327,32 @@
         }
     }
 
+    private fun running(port: RankPort) = RunningKeeper(
+        initial = GroupKeeper(
+            group = "g",
+            fence = 1,
+            ranks = 2,
+            placement = placement,
+            settings = GroupKeeperSettings(
+                sampledRanks = 2,
+                countInterval = 150.milliseconds,
+                popularityHalfLife = 400.milliseconds,
+                maxLoadsPerRank = 2,
+                minGain = 0.05
+            ),
+            stage = KeeperStage.Surveying(now)
+        ),
+        ranks = upstreams.associate {
+            checkNotNull(it.record.group).rank to RankAddress(it.record.id, it.record.address)
+        },
+        port = port,
+        scope = CoroutineScope(Dispatchers.Unconfined),
+        clock = clock,
+        mayIssueOrders = { true },
+        delegateHold = { OrderOutcome.NO_ANSWER },
+        log = {}
+    )
+
     private inner class Entry(val own: KeeperCandidate) {
         var isRunning = true
         var isStopping = false
