Begin no change before the group has passed the steps that earlier keepers may have held

Where ranks check no fences, a late release by an ended keeper released the step that the next keeper held.

Cause: the hold of a new keeper was moved ahead of the steps that an earlier one may have held by a fixed number of steps. In a group without requests the keeper after it moved its hold to the same step.

A keeper now begins its first change once the group has begun these steps. LateReleaseTest failed before (step 5 is held in a group that has begun none).

--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeper.kt
@@ -123,7 +123,11 @@
         get() = demand.jumps != plannedJumps || slowRanks.keys.any { it !in plannedSlowRanks }
 
     /** Whether to plan before the next planning interval has passed. */
-    internal val isPlanDue: Boolean get() = mayPlan && isPlanOutdated
+    internal val isPlanDue: Boolean get() = mayBeginChange && isPlanOutdated
+
+    /** Whether a change may begin; none that would hold a step that is in use already. */
+    internal val mayBeginChange: Boolean
+        get() = mayPlan && (settings.areFencesChecked || latestStep >= usedStep)
 
     internal val allRanks: IntRange get() = 0 until ranks
 
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperReducer.kt
@@ -210,8 +210,7 @@
 private fun GroupKeeper.nextStepToHold(now: Instant): Long {
     val wasOrderLost = now - lastUnansweredOrderAt < LOSS_WINDOW
     val leadSteps = pace.stepTime(now)?.let { (LOSS_LEAD_TIME / it).toInt() } ?: LOSS_LEAD_STEPS
-    val next = latestStep + 1 + if (wasOrderLost) leadSteps.coerceAtMost(LOSS_LEAD_STEPS) else 0
-    return if (settings.areFencesChecked) next else maxOf(next, usedStep + 1)
+    return latestStep + 1 + if (wasOrderLost) leadSteps.coerceAtMost(LOSS_LEAD_STEPS) else 0
 }
 
 /**
--- a/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
+++ b/core/src/main/kotlin/org/shallotplank/core/expertmap/GroupKeeperTicks.kt
@@ -80,7 +80,7 @@
 }
 
 private fun GroupKeeper.onSettledTick(now: Instant): GroupKeeperStep =
-    if (mayPlan && now - plannedAt >= settings.countInterval) plan(now) else Step(this)
+    if (mayBeginChange && now - plannedAt >= settings.countInterval) plan(now) else Step(this)
 
 /**
  * Reads the reports of some ranks in rotation: held step, armed map and slowdown.
