Use no version of a map again when a keeper starts again in its term

Seen: nothing so far; found while reading a trace of KeeperFleetFuzz.

A keeper that had ended and started again under the same lease, as after a time without the store, took its first version from the ranks' reports and its fencing number. Versions that it had sent before and that no rank had prepared yet were used again, for other maps: a late order to arm then referred to the wrong one, and two ranks could use maps of the same version and different content.

Entries now remember the last version that their ended keepers have used. The test failed before (version twice).

KeeperFleet answered an order that a rank had refused as begun while the rank copied experts.

--- a/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
+++ b/gateway/src/main/kotlin/org/shallotplank/gateway/group/GroupKeepers.kt
@@ -73,6 +73,9 @@
     /** When this process last stopped keeping each group. */
     private val endedAt = HashMap<String, Instant>()
     private val claimedAt = HashMap<String, Instant>()
+
+    /** The last version that ended keepers of each group have used, also in the same term. */
+    private val lastVersions = HashMap<String, Long>()
     private val observedLeases = HashMap<String, ObservedLease>()
     private val decodedRows = HashMap<String, DecodedRow>()
     private var checkedAt: Instant = Instant.DISTANT_PAST
@@ -227,7 +230,7 @@
     /** Stops keeping the group, even during a change: another entry may already keep it. */
     private fun stopNow(name: String) {
         val keeper = running.remove(name) ?: return
-        keeper.end()
+        end(name, keeper)
         endedAt[name] = context.clock.now()
         logKeeperChange(name, keeper.leaseFence, isKept = false)
     }
@@ -245,6 +248,11 @@
         if (!keeper.isHolding || !mayIssueOrders(name, keeper.term)) stopNow(name)
     }
 
+    private fun end(name: String, keeper: RunningKeeper) {
+        keeper.end()
+        lastVersions[name] = keeper.state.lastVersion
+    }
+
     private fun logKeeperChange(name: String, fence: Long, isKept: Boolean) = context.log(
         logRecord(
             LogEvent.GROUP_KEEPING,
@@ -333,14 +341,15 @@
             if (current.continueUnder(fence)) return logKeeperChange(name, fence, isKept = true)
         }
         logKeeperChange(name, fence, isKept = true)
-        current?.end()
+        current?.let { end(name, it) }
         val keeper = GroupKeeper(
             group = name,
             fence = fence,
             ranks = group.ranks.size,
             placement = group.placement,
             settings = settingsFor(group),
-            stage = KeeperStage.Surveying(context.clock.now())
+            stage = KeeperStage.Surveying(context.clock.now()),
+            lastVersion = lastVersions[name] ?: 0
         )
         running[name] =
             RunningKeeper(
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperFleet.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperFleet.kt
@@ -408,7 +408,8 @@
                 } else {
                     schedule(CALL_TIME) {
                         val outcome = execute(rank, order, epoch, fence)
-                        val seen = if (isCopying(rank, order)) OrderOutcome.BEGUN else outcome
+                        val isBegun = outcome == OrderOutcome.DONE && isCopying(rank, order)
+                        val seen = if (isBegun) OrderOutcome.BEGUN else outcome
                         answer(sender) { reply.complete(seen) }
                     }
                 }
--- a/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
+++ b/gateway/src/test/kotlin/org/shallotplank/gateway/KeeperHandOverTest.kt
@@ -176,6 +176,25 @@
         }
     }
 
+    /** Guards against a late order for a version that means another map by then. */
+    @Nested
+    inner class AKeeperThatStartsAgainInTheSameTerm {
+        @Test
+        fun `uses no version again`() {
+            advance(3.seconds)
+            val first = checkNotNull(keeper())
+            first.cutOff()
+            entries.filter { it != first }.forEach { it.isRunning = false }
+            advance(5.seconds)
+            assertTrue(!first.isActive(now))
+            first.reconnect()
+            advance(1.seconds)
+            assertTrue(first.isActive(now))
+            val versions = first.port.preparedVersions.distinct()
+            assertEquals(2, versions.size, "prepared $versions")
+        }
+    }
+
     /** Guards against orders under a new fencing number while those of the last one may arrive. */
     @Nested
     inner class AKeeperUnderANewFence {
@@ -407,6 +426,12 @@
             lastRead = TableReplica().also { it.replace(store.copy()) }
         }
 
+        fun reconnect() {
+            isReachable = true
+            cutOffAt = null
+            lastRead = null
+        }
+
         fun isKnownToHaveLeft(group: String): Boolean =
             isReachable && group in keepers.relinquishedGroups
 
@@ -420,6 +445,7 @@
     private inner class CountingPort : RankPort {
         var calls = 0
         var lastCallAt = Instant.DISTANT_PAST
+        val preparedVersions = mutableListOf<Long>()
         var mapVersion = 0L
         var gate = CompletableDeferred(Unit)
 
@@ -457,6 +483,7 @@
             fence: Long
         ): OrderOutcome {
             note()
+            if (order is RankOrder.Prepare) preparedVersions += order.version
             return OrderOutcome.DONE
         }
 
